Reread the configuration at SIGHUP and watch discovery's new address at once

Checked: nothing in cmd/swiftdeal caught the signal (signal.NotifyContext named SIGTERM and SIGINT only), and config.Load let GW_DISCOVERY beat the file, so that a reread alone would have kept the old address for ever.

Now: SIGHUP is caught before anything else; the whole file is read and checked again, its discovery going before the variable; a faulty file changes nothing and the log names the key. upstream.Client.Move ends the old address's calls under the lock that tells news, so no late word of theirs is told; list and version stay. The module learns of the move by ListMoved: it forgets its failures, else the backoff learned at the old address could delay the first call to the new one by 3.6 s. Reloads are taken until the node has drained.

Ruled out: waiting for the old watch to break (1.5 s later) and asking elsewhere then: it works only if nothing is told in between.

--- a/balance/api.go
+++ b/balance/api.go
@@ -101,6 +101,7 @@
 	ListFull                // the whole list
 	ListCached              // the whole list as last known before a restart, possibly stale
 	ListFailed              // a Watch or Fetch failed; no entries
+	ListMoved               // the list is to be had elsewhere from now on; no entries, the old ones still hold
 )
 
 // Request is a job to be placed.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,9 @@
 	case ListFailed: // jittered: nodes restarted together should not ask together
 		b.misses = min(b.misses+1, 4)
 		b.retryAt = now + time.Duration(float64(b.s.DialTimeout)*float64(int(1)<<b.misses)*(0.5+b.chance()))
+	case ListMoved: // failures so far say nothing of the new place
+		b.misses, b.retryAt = 0, -1
+		b.act.Watch()
 	case ListFull, ListCached:
 		for _, w := range b.workers {
 			w.told = false
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -36,6 +36,10 @@
 type about struct{}
 
 func (s serve) Run() error {
+	// Guards against a SIGHUP that kills: it is caught before anything else is done. One that waits stands for
+	// all that came since the last reading.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
 		return err
@@ -52,7 +56,23 @@
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		return fmt.Errorf("log-level: %w", err)
 	}
-	return node.Serve(ctx, c, ln, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	reloads := make(chan *config.Config)
+	go reread(hup, reloads, log)
+	return node.Serve(ctx, c, ln, log, reloads)
+}
+
+// reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
+// with what it has, and the log names the key.
+func reread(hup <-chan os.Signal, reloads chan<- *config.Config, log *slog.Logger) {
+	for range hup {
+		c, err := config.Reload(os.Getenv, os.ReadFile)
+		if err != nil {
+			log.Error("the configuration is faulty, the old one stays", "error", err)
+			continue
+		}
+		reloads <- c
+	}
 }
 
 func (check) Run() error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"reflect"
 	"strconv"
 
 	"swiftdeal/internal/settings"
@@ -36,12 +37,22 @@
 
 // Load reads the configuration through the two functions of package os that it is handed: Getenv and
 // ReadFile. A GW_ variable that is set goes before the file's key.
-func Load(getenv func(string) string, read func(string) ([]byte, error)) (*Config, error) {
+func Load(getenv func(string) string, open func(string) ([]byte, error)) (*Config, error) {
+	return read(getenv, open, false)
+}
+
+// Reload reads the file again for a node that runs. Its discovery goes before the variable: that one cannot
+// change while the process lives, so that a new address in the file could never take effect.
+func Reload(getenv func(string) string, open func(string) ([]byte, error)) (*Config, error) {
+	return read(getenv, open, true)
+}
+
+func read(getenv func(string) string, open func(string) ([]byte, error), again bool) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("GW_CONFIG: not set; it names the configuration file")
 	}
-	text, err := read(path)
+	text, err := open(path)
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
@@ -52,13 +63,30 @@
 	for variable, key := range map[string]*string{
 		"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_DISCOVERY": &f.Discovery,
 	} {
-		if v := getenv(variable); v != "" {
+		if v := getenv(variable); v != "" && !(again && key == &f.Discovery && *key != "") {
 			*key = v
 		}
 	}
 	return f.check()
 }
 
+// NeedsRestart names the keys in which a new configuration differs from this one and that only a restart puts
+// into effect: all but discovery, and known, which the node's own list is newer than.
+func (c *Config) NeedsRestart(to *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == to.Name}, {"listen", c.Listen == to.Listen}, {"seed", c.Seed == to.Seed},
+		{"settings", reflect.DeepEqual(c.Settings, to.Settings)}, {"limits", c.Limits == to.Limits},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // check turns the file into a Config.
 func (f *file) check() (*Config, error) {
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,10 +32,12 @@
 	book     *book.Stage
 	conns    *connections
 	draining atomic.Bool
+	log      *slog.Logger
 }
 
-// Serve runs a node on the listener until the context ends, and then drains it.
-func Serve(ctx context.Context, c *config.Config, ln net.Listener, log *slog.Logger) error {
+// Serve runs a node on the listener until the context ends, and then drains it. Each new configuration that
+// comes meanwhile, also while it drains, is put into effect.
+func Serve(ctx context.Context, c *config.Config, ln net.Listener, log *slog.Logger, reloads <-chan *config.Config) error {
 	s := c.Settings.Balance
 	s.MustAsk = true // over sockets no list comes unasked, whatever the settings say of the simulator's
 	r, err := route.New(s, c.Seed, log)
@@ -45,12 +47,13 @@
 	n := &Node{
 		limits: c.Limits, route: r, conns: newConnections(c.Limits),
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
-		relay: relay.New(c.Limits), book: book.New(c.Limits, log),
+		relay: relay.New(c.Limits), book: book.New(c.Limits, log), log: log,
 	}
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
 	go r.Run(work, send.New(c.Limits, c.Settings, r), upstream.New(c.Limits, c.Discovery, c.Known.Version, r))
 	r.Listed(balance.ListCached, c.Known)
+	go n.reload(work, c, reloads)
 	srv := &http.Server{
 		Handler: n, ReadHeaderTimeout: c.Limits.HeaderWait, MaxHeaderBytes: c.Limits.HeaderBytes,
 		ConnState: n.conns.note, ConnContext: n.conns.mark, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
@@ -72,6 +75,22 @@
 	return nil
 }
 
+// reload puts new configurations into effect, one after the other.
+func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan *config.Config) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case to := <-reloads:
+			if keys := c.NeedsRestart(to); len(keys) > 0 {
+				n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
+			}
+			n.log.Info("configuration read again", "discovery", to.Discovery)
+			n.route.Moved(to.Discovery) // also if it is the same: the operator may want it asked anew
+		}
+	}
+}
+
 // ServeHTTP passes one request along the chain.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/ready" {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,10 +24,13 @@
 	jobs  chan string
 	left  chan struct{} // the node has given up a job
 	done  chan string   // what the peer answers a job with
+
+	config  *config.Config
+	reloads chan *config.Config
 }
 
 func start(t *testing.T, change func(*config.Limits)) *world {
-	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9)}
+	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), reloads: make(chan *config.Config)}
 	peer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/status/load" {
 			fmt.Fprint(rw, "TEXT x0=4.0, x1=4.0")
@@ -71,9 +74,10 @@
 	if change != nil {
 		change(&c.Limits)
 	}
+	w.config = c
 	ctx, stop := context.WithCancel(t.Context())
 	w.addr, w.stop = ln.Addr().String(), stop
-	go func() { w.ended <- Serve(ctx, c, ln, slog.New(slog.DiscardHandler)) }()
+	go func() { w.ended <- Serve(ctx, c, ln, slog.New(slog.DiscardHandler), w.reloads) }()
 	for w.status("GET", "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
 	}
@@ -105,6 +109,40 @@
 	return resp.StatusCode
 }
 
+// A new configuration moves discovery: the new address is asked at once for what has changed since the version
+// held, the peers known so far go on serving, and a draining node follows too.
+func TestReload(t *testing.T) {
+	w := start(t, func(l *config.Limits) { l.DrainIdle, l.DrainTotal = time.Hour, time.Hour })
+	asked := make(chan string, 9)
+	for i := range 3 {
+		disco := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			asked <- fmt.Sprint(i, " ", r.RequestURI)
+			fmt.Fprintf(rw, `{"version":%d,"servers":[]}`+"\n", i+2)
+			http.NewResponseController(rw).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(disco.Close)
+		t.Cleanup(disco.CloseClientConnections)
+		to := *w.config
+		to.Discovery = disco.Listener.Addr().String()
+		if i == 2 { // the answer that is owed keeps the node draining
+			go w.status("POST", "/job", "X-Request-Id", "r")
+			<-w.jobs
+			w.stop()
+		}
+		w.reloads <- &to
+		// The version comes with the answer, which may be on its way yet when the next address is told.
+		if got := <-asked; !strings.HasPrefix(got, fmt.Sprint(i, " /v1/endpoints?follow=1&since=")) || strings.HasSuffix(got, "=0") {
+			t.Errorf("reload %d: asked %s", i, got)
+		}
+	}
+	w.done <- "result"
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // What the client sent reaches the peer unchanged, paths that a mux would clean included, and the peer's result
 // reaches the client.
 func TestServe(t *testing.T) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -23,6 +23,7 @@
 type Upstream interface {
 	Watch()
 	Fetch()
+	Move(addr string)
 }
 
 // entry is a request that the Balancer knows, until it is over and its tries have ended.
@@ -104,7 +105,7 @@
 // Listed posts news of the upstream group.
 func (r *Stage) Listed(kind balance.List, g config.Group) {
 	r.box.post(func() {
-		if kind != balance.ListFailed {
+		if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges {
 			r.sender.Update(g) // first: the Balancer may send to a peer as soon as it hears of it
 		}
 		r.b.Members(r.now(), kind, g.Workers())
@@ -115,6 +116,14 @@
 	})
 }
 
+// Moved posts discovery's new address. The Balancer asks there at once.
+func (r *Stage) Moved(addr string) {
+	r.box.post(func() {
+		r.upstream.Move(addr)
+		r.b.Members(r.now(), balance.ListMoved, nil)
+	})
+}
+
 // Advanced posts news about a try that is still out.
 func (r *Stage) Advanced(id string, attempt int, kind balance.NoteKind, share float64) {
 	r.box.post(func() {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -22,6 +22,7 @@
 func (h host) Update(config.Group) {}
 func (h host) Watch()              { h.asked <- "watch" }
 func (h host) Fetch()              {}
+func (h host) Move(addr string)    { h.asked <- "move " + addr }
 
 func (h host) want(t *testing.T, what string) {
 	t.Helper()
@@ -107,6 +108,19 @@
 	h.want(t, "try a0 p")
 }
 
+// Discovery moves: the new address is asked at once, however long the old one has failed before.
+func TestMoved(t *testing.T) {
+	r, h := start(t)
+	for range 9 {
+		r.Listed(balance.ListFailed, config.Group{})
+	}
+	r.Moved("there")
+	h.want(t, "move there")
+	h.want(t, "watch")
+	r.Accept(admitted("a"))
+	h.want(t, "try a0 p") // the peers known before still are
+}
+
 // A try for a request whose client has just left is not sent, and its end is told all the same.
 func TestMoot(t *testing.T) {
 	r, h := start(t)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,51 +25,71 @@
 // Client asks discovery. Each call is made once; the decision module says when to ask again.
 type Client struct {
 	limits config.Limits
-	addr   string
 	events Events
 
 	mu      sync.Mutex
-	version int64  // of the last message
-	stop    func() // ends the watch that is on
+	addr    string
+	version int64           // of the last message
+	stop    func()          // ends the watch that is on
+	here    context.Context // ends when discovery moves
+	moved   func()
 }
 
 // New returns a client that holds the group of the given version.
 func New(l config.Limits, addr string, version int64, events Events) *Client {
-	return &Client{limits: l, addr: addr, version: version, events: events, stop: func() {}}
+	c := &Client{limits: l, addr: addr, version: version, events: events, stop: func() {}}
+	c.here, c.moved = context.WithCancel(context.Background())
+	return c
+}
+
+// Move takes discovery's new address. Calls to the old one are ended, and none of them tells anything any more:
+// a late word of the old address must not undo what the new one has told. The version is kept, so that the next
+// watch brings what was missed in between.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moved()
+	c.addr = addr
+	c.here, c.moved = context.WithCancel(context.Background())
 }
 
 // Watch asks for changes from the last version on. A watch that is on is replaced, and ends untold.
 func (c *Client) Watch() {
-	ctx, stop := context.WithCancel(context.Background())
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.stop()
-	c.stop = stop
-	path := fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)
-	c.mu.Unlock()
-	go c.call(ctx, path, c.follow)
+	var ctx context.Context
+	ctx, c.stop = context.WithCancel(c.here)
+	go c.call(ctx, c.addr, fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version), c.follow)
 }
 
 // Fetch asks for the whole list once.
-func (c *Client) Fetch() { go c.call(context.Background(), "/v1/endpoints", c.whole) }
+func (c *Client) Fetch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	go c.call(c.here, c.addr, "/v1/endpoints", c.whole)
+}
 
 // call makes one call; read reads its answer until it fails. A nil error is an answer read to its end.
-func (c *Client) call(ctx context.Context, path string, read func(context.Context, net.Conn, io.Reader) error) {
-	err := c.try(ctx, path, read)
+func (c *Client) call(ctx context.Context, addr, path string, read func(context.Context, net.Conn, io.Reader) error) {
+	err := c.try(ctx, addr, path, read)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		c.events.Listed(balance.ListFailed, config.Group{})
 	}
 }
 
-func (c *Client) try(ctx context.Context, path string, read func(context.Context, net.Conn, io.Reader) error) error {
+func (c *Client) try(ctx context.Context, addr, path string, read func(context.Context, net.Conn, io.Reader) error) error {
 	d := net.Dialer{Timeout: c.limits.ListWait}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(c.limits.ListWait)) // a silent machine never closes
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, c.addr); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodGet})
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -106,9 +106,9 @@
 		addr, _ := discovery(t, string(text), false)
 		c, e := client(addr, time.Minute)
 		if rapid.Bool().Draw(t, "fetch") {
-			c.try(t.Context(), "/", c.whole)
+			c.try(t.Context(), addr, "/", c.whole)
 		} else {
-			c.call(t.Context(), "/", c.follow)
+			c.call(t.Context(), addr, "/", c.follow)
 		}
 		failed := 0
 		for len(e) > 0 {
@@ -125,6 +125,39 @@
 	})
 }
 
+// After a move the old address is not heard any more, neither its watch nor a list that was asked for: its late
+// word would undo the new one's. The version goes along.
+func TestMove(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, e := client(ln.Addr().String(), time.Minute)
+	c.Watch()
+	c.Fetch()
+	var old [2]net.Conn
+	for i := range old {
+		if old[i], err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		http.ReadRequest(bufio.NewReader(old[i]))
+	}
+	addr, asked := discovery(t, chunks(`{"version":43,"servers":[]}`), true)
+	c.Move(addr)
+	c.Watch()
+	for _, o := range old { // the late word
+		fmt.Fprint(o, chunks(`{"version":42,"full":true,"servers":[]}`), "0\r\n\r\n")
+		o.Close()
+	}
+	if got := <-asked; got != "/v1/endpoints?follow=1&since=41" {
+		t.Errorf("asked for %s", got)
+	}
+	if got := <-e; got.g.Version != 43 || len(e) != 0 {
+		t.Errorf("%+v and %d more", got, len(e))
+	}
+}
+
 // A machine that is cut off says nothing: silence fails a call, though its connection stays open.
 func TestSilence(t *testing.T) {
 	for name, answer := range map[string]string{"no answer": "", "no line": head, "no line any more": chunks("", "")} {
@@ -156,7 +189,7 @@
 	c, e = client(addr, time.Minute)
 	c.Watch()
 	<-asked
-	c.addr = "127.0.0.1:1" // refused
+	c.Move("127.0.0.1:1") // refused
 	c.Watch()
 	if got := <-e; got.kind != balance.ListFailed || len(e) != 0 {
 		t.Errorf("%+v and %d more", got, len(e))
