Turn bad clients away before a peer sees them, and let silent connections give way

Probes with raw requests on one connection showed more: a half body and a silent connection were held for a minute, a second X-Request-Id and /%6Aob reached the peer, and 413 for a body that never came waited.

Causes: net/http drops a Content-Length beside a Transfer-Encoding before the handler, so takein could not see it; HeaderWait of a minute stood for head and body; the class was read from the decoded path while the raw one passed on; of repeated headers the first was read and all passed on; netutil's LimitListener stopped accepting once silent connections filled it.

Now: takein keeps the bytes of the head in hand (one copy of a few hundred bytes for usual requests) and reads them again with net/textproto only where the request is chunked or of HTTP/1.0. Head 1.5 s, body 1 s, idle 5 minutes. Faulty requests are answered at once with Connection: close. Past ClientConns the oldest connection that has sent no request gives way, then the one idle longest; only when all carry requests is the next refused.

Ruled out: HTTP/1.0 as harmless (net/http ignores its Transfer-Encoding and goes by the length); a GET /ready before the double length in one segment (the kept head would be the wrong one; it is taken too).

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -19,8 +19,11 @@
 	SpareConns   int           // accepted beyond those, only to be refused with an answer
 	OpenRequests int           // request contexts at once
 	HeaderBytes  int           // of a message's header, from clients and peers alike
+	HeadSlack    int           // what the server may read beyond a head
 	BodyBytes    int64         // of a request
-	HeaderWait   time.Duration // for a request's header
+	HeadWait     time.Duration // for a request's head, from the connection's start or the head's first byte
+	BodyWait     time.Duration // for a request's body, from the end of its head
+	IdleWait     time.Duration // a client connection idle between requests for this long is closed
 	WriteWait    time.Duration // for a client to take its answer
 	MaxPatience  time.Duration // no deadline is further off
 	AnswerMargin time.Duration // the backstop answers this long before the deadline
@@ -56,7 +59,8 @@
 // limits derives the Limits from the file's limits and the settings.
 func (f *file) limits(s settings.Settings) (Limits, error) {
 	l := Limits{
-		HeaderBytes: 16 << 10, BodyBytes: 64 << 10, HeaderWait: time.Minute, WriteWait: 5 * time.Second,
+		HeaderBytes: 16 << 10, HeadSlack: 16 << 10, BodyBytes: 64 << 10, HeadWait: 1500 * time.Millisecond, BodyWait: time.Second,
+		IdleWait: 5 * time.Minute, WriteWait: 5 * time.Second,
 		MaxPatience: time.Hour, AnswerMargin: 5 * time.Millisecond, RefusedFor: 250 * time.Millisecond,
 		DialWait: s.Balance.DialTimeout, ProbeWait: 200 * time.Millisecond, TailWait: time.Second,
 		LineBytes: 512 << 10, ReportBytes: 4 << 10,
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -7,38 +7,108 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/takein"
 )
 
-// connections keeps count of the client connections.
+// connections keeps count of the client connections, and keeps them within their budget. Connections go on being
+// accepted when it is used up: those that have sent no request give way, the oldest first, and then those idle for
+// longest, which their clients may lose at any time. A crowd that says nothing thus holds no place that a usual
+// client needs.
 type connections struct {
 	limits config.Limits
 	mu     sync.Mutex
-	open   map[net.Conn]time.Time // since when it is idle; zero while it carries a request
+	open   map[net.Conn]stand
+	room   chan struct{} // told of each connection that ends or becomes idle
+}
+
+// stand is what a connection is at.
+type stand struct {
+	state http.ConnState
+	since time.Time
 }
 
 func newConnections(l config.Limits) *connections {
-	return &connections{limits: l, open: map[net.Conn]time.Time{}}
+	return &connections{limits: l, open: map[net.Conn]stand{}, room: make(chan struct{}, 1)}
+}
+
+// listener hands the server connections that are already counted.
+type listener struct {
+	net.Listener
+	c *connections
+}
+
+func (c *connections) listen(ln net.Listener) net.Listener { return listener{ln, c} }
+
+// spare is a connection past ClientConns. All of those carry requests, so it is there only to be refused with an
+// answer.
+type spare struct{ net.Conn }
+
+func (l listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := net.Conn(takein.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack))
+	for {
+		l.c.mu.Lock()
+		n := len(l.c.open)
+		if n >= l.c.limits.ClientConns && l.c.evict() {
+			n--
+		}
+		if n < l.c.limits.ClientConns+l.c.limits.SpareConns {
+			if n >= l.c.limits.ClientConns {
+				conn = spare{conn}
+			}
+			l.c.open[conn] = stand{http.StateNew, time.Now()}
+			l.c.mu.Unlock()
+			return conn, nil
+		}
+		l.c.mu.Unlock()
+		<-l.c.room // all carry requests: each of them ends
+	}
 }
 
-// listen caps the connections that are accepted at all. Those past ClientConns are there to be refused.
-func (c *connections) listen(ln net.Listener) net.Listener {
-	return netutil.LimitListener(ln, c.limits.ClientConns+c.limits.SpareConns)
+// evict closes the connection that is missed least and reports whether there is one; c.mu is held.
+func (c *connections) evict() bool {
+	var least net.Conn
+	for conn, s := range c.open {
+		if s.state == http.StateActive {
+			continue
+		}
+		if l := c.open[least]; least == nil || (s.state != l.state && s.state == http.StateNew) ||
+			(s.state == l.state && s.since.Before(l.since)) {
+			least = conn
+		}
+	}
+	if least == nil {
+		return false
+	}
+	delete(c.open, least)
+	least.Close()
+	return true
 }
 
 // note is the server's ConnState hook.
 func (c *connections) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, ok := c.open[conn]; !ok { // it has given way
+		return
+	}
 	switch state {
-	case http.StateNew, http.StateIdle:
-		c.open[conn] = time.Now()
-	case http.StateActive:
-		c.open[conn] = time.Time{}
 	case http.StateHijacked, http.StateClosed:
 		delete(c.open, conn)
+	case http.StateNew: // counted when it was accepted
+		return
+	default:
+		c.open[conn] = stand{state, time.Now()}
+	}
+	if state != http.StateActive {
+		select {
+		case c.room <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -48,26 +118,26 @@
 	return len(c.open)
 }
 
-// spareKey marks the context of a connection past ClientConns.
+// spareKey marks the context of a spare connection.
 type spareKey struct{}
 
-// mark is the server's ConnContext hook; it comes before the connection's first note.
-func (c *connections) mark(ctx context.Context, _ net.Conn) context.Context {
-	if c.count() < c.limits.ClientConns {
-		return ctx
+// mark is the server's ConnContext hook.
+func (c *connections) mark(ctx context.Context, conn net.Conn) context.Context {
+	if s, ok := conn.(spare); ok {
+		ctx, conn = context.WithValue(ctx, spareKey{}, true), s.Conn
 	}
-	return context.WithValue(ctx, spareKey{}, true)
+	return takein.ConnContext(ctx, conn)
 }
 
-// spare reports whether a request came on a connection past ClientConns.
+// spare reports whether a request came on a spare connection.
 func (c *connections) spare(ctx context.Context) bool { return ctx.Value(spareKey{}) != nil }
 
-// closeIdle closes the connections that have been idle for so long.
+// closeIdle closes the connections that have carried no request for so long.
 func (c *connections) closeIdle(after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, since := range c.open {
-		if !since.IsZero() && time.Since(since) >= after {
+	for conn, s := range c.open {
+		if s.state != http.StateActive && time.Since(s.since) >= after {
 			conn.Close()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,7 @@
 	r.Listed(balance.ListCached, c.Known)
 	go n.reload(work, c, reloads)
 	srv := &http.Server{
-		Handler: n, ReadHeaderTimeout: c.Limits.HeaderWait, MaxHeaderBytes: c.Limits.HeaderBytes,
+		Handler: n, ReadHeaderTimeout: c.Limits.HeadWait, IdleTimeout: c.Limits.IdleWait, MaxHeaderBytes: c.Limits.HeaderBytes,
 		ConnState: n.conns.note, ConnContext: n.conns.mark, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		DisableGeneralOptionsHandler: true,
 	}
@@ -93,7 +93,7 @@
 
 // ServeHTTP passes one request along the chain.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet && r.URL.Path == "/ready" {
+	if takein.Ready(r) {
 		n.ready(w)
 		return
 	}
@@ -120,7 +120,10 @@
 	}
 	taken := false
 	defer func() { n.book.Close(c, taken) }() // also when relay drops the connection
-	taken = n.relay.Write(w, c.Answer(), n.draining.Load() || spare) == nil
+	a := c.Answer()
+	// A client that breaks the protocol keeps no connection. The server then neither waits for the rest of a body
+	// before it sends the answer, nor reads on in what may be no request.
+	taken = n.relay.Write(w, a, n.draining.Load() || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
 }
 
 // ready answers whether clients may come: there is a list of peers, and the node is not about to end.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -32,6 +32,9 @@
 	"served", "refused", "failed", "malformed", "unknown_class", "wrong_method", "too_large", "gone",
 }
 
+// Faulty reports whether the request itself was at fault.
+func (v Verdict) Faulty() bool { return v >= Malformed && v <= TooLarge }
+
 func (v Verdict) String() string { return names[v] }
 
 // Answer is the final answer to a request.
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -73,7 +73,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Target, c.Host)
 	skip := maps.Clone(hop)
-	for _, name := range strings.Split(c.Header.Get("Connection"), ",") { // it names further ones
+	for _, name := range strings.Split(strings.Join(c.Header["Connection"], ","), ",") { // it names further ones
 		skip[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 	}
 	c.Header.WriteSubset(&b, skip)
--- a/internal/takein/takein.go
+++ b/internal/takein/takein.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,7 +35,7 @@
 }
 
 // Read reads a request, its body included: only then does the server notice that a client leaves. A request
-// that cannot be taken in comes back already answered.
+// that cannot be taken in comes back already answered; what is left of its body has until the read deadline.
 func (s *Stage) Read(w http.ResponseWriter, r *http.Request) *request.Context {
 	c := request.New()
 	if err := s.read(c, w, r); err != nil {
@@ -49,39 +50,71 @@
 
 func (s *Stage) read(c *request.Context, w http.ResponseWriter, r *http.Request) error {
 	c.Method, c.Target, c.Host, c.Header = r.Method, r.RequestURI, r.Host, r.Header
+	ctl := http.NewResponseController(w)
+	// Guards against a body that never comes: neither its reader here nor the server, which reads on after an
+	// answer, may wait for it for ever.
+	ctl.SetReadDeadline(c.Arrived.Add(s.limits.BodyWait))
+	if ambiguous(r) {
+		return malformed("Content-Length beside Transfer-Encoding, or a head that cannot be made out")
+	}
 	if r.Method != http.MethodPost {
 		return fault{request.WrongMethod, "jobs come by POST"}
 	}
 	if err := Header(c, s.limits.MaxPatience); err != nil {
 		return err
 	}
-	c.ClassName, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	// The class is read from the target as it passes on: were it decoded here, node and peer could differ.
+	path, ok := strings.CutPrefix(r.RequestURI, "/")
+	if !ok {
+		return malformed("the target is not a path")
+	}
+	c.ClassName = path
+	if end := strings.IndexAny(path, "/?"); end >= 0 {
+		c.ClassName = path[:end]
+	}
 	if r.ContentLength > s.limits.BodyBytes {
 		return fault{request.TooLarge, "the body is too large"}
 	}
-	ctl := http.NewResponseController(w)
-	wait := s.limits.HeaderWait // a body that trickles in must not hold a request for ever
-	if c.Patience > 0 {
-		wait = min(wait, c.Patience)
-	}
-	ctl.SetReadDeadline(c.Arrived.Add(wait))
 	var err error
 	c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
-	ctl.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return fault{request.TooLarge, "the body is too large"}
 	} else if err != nil {
 		return malformed("the body breaks off")
 	}
+	ctl.SetReadDeadline(time.Time{})
 	return nil
 }
 
+// once lists the headers that steer a request. Peers get them all: of two, a peer could go by the other one.
+var once = []string{"X-Request-Id", "Idempotency-Key", "X-Deadline", "X-Cost-Hint", "X-Extras", "X-Retry"}
+
+// longest is the most bytes of an id or a key.
+const longest = 256
+
 // Header reads the headers that say what the job needs.
 func Header(c *request.Context, most time.Duration) error {
+	for _, key := range once {
+		switch v := c.Header[key]; {
+		case len(v) > 1:
+			return malformed("%s: given %d times", key, len(v))
+		case len(v) == 1 && (v[0] == "" || len(v[0]) > longest):
+			return malformed("%s: empty or too long", key)
+		}
+	}
 	if c.ID = c.Header.Get("X-Request-Id"); c.ID == "" {
 		return malformed("X-Request-Id: missing")
 	}
+	for _, named := range c.Header["Connection"] {
+		for name := range strings.SplitSeq(named, ",") {
+			// Guards against a job that reaches its peer without its id or key, dropped as a header of the
+			// connection alone.
+			if slices.Contains(once, http.CanonicalHeaderKey(strings.TrimSpace(name))) {
+				return malformed("Connection: names %s", name)
+			}
+		}
+	}
 	deadline, err := number(c.Header, "X-Deadline", time.Second)
 	if err != nil {
 		return err
