Judge restarts, silence and broken connections by what the sockets show

Now: such a worker counts as restarted then, also while the list still tells of the old process; a job is not sent to a cold worker that cannot end it in time; silent machines and connections are left by every class that allows a second copy, inside its group; doubt about all probes needs a second without any answer (six dead machines alone gave eight failures in a row); a job that ran and is hopeless is answered at once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,7 +89,7 @@
 	b.now = now
 	if r := b.reqs[id]; r != nil && n >= 0 && n < len(r.attempts) && r.attempts[n].out {
 		a := r.attempts[n]
-		a.w.heard = now
+		a.w.heard, a.heard = now, now
 		if a.started == 0 {
 			a.started, a.shareAt = now, now
 			b.quick = min(b.quick, now-a.sent)
@@ -113,21 +113,41 @@
 	if a.started == 0 || a.r.Work == 0 || span < 0.05 || !(share > a.share && share <= 1) {
 		return
 	}
-	v := (share - a.share) * a.r.Work.Seconds() / span
+	v := (share - a.share) * a.r.Work.Seconds() / span / b.warmth(a.w)
 	if a.w.pace == 0 || b.now-a.w.paceAt > paceFor {
 		a.w.pace = v
 	}
 	a.w.pace += 0.5 * (v - a.w.pace)
+	if b.warmth(a.w) == 1 {
+		b.usual += 0.05 * (v - b.usual)
+	}
 	a.w.paceAt, a.share, a.shareAt = b.now, share, b.now
 }
 
-// slow reports whether a job would miss its aim on a worker at the pace last seen there: time is one more
-// resource that it lacks.
+// slow reports whether a job would miss its aim on a worker at the pace last seen there, or, while it is
+// cold, at the usual one: time is one more resource that it lacks.
 func (b *Balancer) slow(w *worker, r *request) bool {
-	if w.pace == 0 || r.Work == 0 || b.now-w.paceAt > paceFor || r.c.LateWorth > 0 {
+	pace, known, warm := b.usual, b.now-w.paceAt <= paceFor && w.pace > 0, b.warmth(w)
+	if known {
+		pace = w.pace
+	}
+	if r.Work == 0 || r.c.LateWorth > 0 || (!known && warm == 1) {
 		return false
 	}
-	return r.Work.Seconds()/w.pace > (r.aim-b.now).Seconds()+r.c.Stretch*r.Work.Seconds()
+	work, takes := r.Work.Seconds()/pace, r.Work.Seconds()/pace
+	if warm < 1 { // it does warm*t + gain/2*t*t of the work in the time t, until it is warm
+		gain := (1 - b.s.ColdFrom) / b.s.ColdFor.Seconds()
+		takes = (math.Sqrt(warm*warm+2*gain*work) - warm) / gain
+		if rest := (1 - warm) / gain; takes > rest {
+			takes = rest + work - (warm+1)/2*rest
+		}
+	}
+	return takes > b.left(r)
+}
+
+// left is the time in seconds that a job may still take if it starts now and is to meet its aim.
+func (b *Balancer) left(r *request) float64 {
+	return (r.aim - b.now).Seconds() + r.c.Stretch*r.Work.Seconds()
 }
 
 // Done takes the end of an attempt.
@@ -172,6 +192,13 @@
 		w.rep.FreeSlots = min(w.rep.FreeSlots, 0) // until the next report
 		fallthrough
 	case Error, ConnectFailed, Reset, TimedOut:
+		if o.Result >= ConnectFailed && b.s.MayProbe {
+			// Guards against sends to a process that is gone, or back and cold: a probe tells.
+			w.probeFails = max(w.probeFails, 1)
+			if !w.probing {
+				b.probe(w)
+			}
+		}
 		w.fails++
 		wait := float64(b.s.DialTimeout) * float64(int(1)<<min(w.fails-1, 4)) * (0.75 + 0.5*b.chance())
 		w.until = b.now + time.Duration(wait)
@@ -190,8 +217,15 @@
 		w.asked = false
 		b.asked--
 	}
+	w.mute = res == TimedOut || res == ConnectFailed || res == Reset
 	if res == OK {
-		w.probeFails, w.heard, b.mute = 0, now, 0
+		if rep == nil && w.reported {
+			// Guards against a worker that has restarted before the list tells: only a process that has just
+			// started has no report yet. Its slots are all free, and it is cold.
+			w.restarted()
+			w.Started = now
+		}
+		w.probeFails, w.heard, b.mute, b.okAt = 0, now, 0, now
 		b.trip = min(b.trip, now-w.probed)
 		if rep != nil {
 			b.report(w, rep)
@@ -417,10 +451,15 @@
 	return b.asked > 0
 }
 
-// expire answers held jobs whose aim is lost, where a late answer would earn nothing.
+// expire answers held jobs whose aim is lost, where a late answer would earn nothing: one that may have run
+// once not even a standard core would do.
 func (b *Balancer) expire() {
 	for _, r := range slices.Clone(b.held) {
-		if r.c.LateWorth == 0 && b.slack(r) < 0 && r.maybeRan() == nil {
+		lost := b.slack(r) < 0
+		if r.maybeRan() != nil {
+			lost = r.Work > 0 && b.left(r) < r.Work.Seconds()
+		}
+		if r.c.LateWorth == 0 && lost {
 			b.answer(r)
 		}
 	}
@@ -432,7 +471,7 @@
 func (b *Balancer) pick(r *request) (best *worker, count int) {
 	var most, luck float64
 	var near bool
-	pool, doubt := b.fresh, !b.s.MayProbe || b.mute > 4*look
+	pool, doubt := b.fresh, !b.s.MayProbe || (b.mute > 4*look && b.now-b.okAt > 4*b.s.DialTimeout)
 	if doubt {
 		pool = b.workers
 	}
@@ -508,10 +547,22 @@
 	return b.s.TellsStart && a.started == 0 && b.now-a.sent > 4*b.quick+2*b.s.Step
 }
 
-// move calls back safe jobs that wait at a worker: to another that has room, since reports are late and
-// rivals may have taken the slot first; or for good when their aim is lost, since they would take a slot from
-// jobs still in time. Where reports do not show the queue, one called off may run all the same, so only
-// silent workers are left.
+// stalled reports whether an own job is not heard of any more though its worker lives: its connection has
+// fallen silent. A running job tells of its progress, and of two that wait in order the earlier starts first.
+func (b *Balancer) stalled(a *attempt) bool {
+	if b.s.Progress > 0 && a.started > 0 {
+		return b.now-a.heard > 3*b.s.Progress
+	}
+	later := func(x *attempt) bool {
+		return x.sent > a.sent+b.s.DialTimeout && x.started > 0 && b.now-x.started > b.s.DialTimeout
+	}
+	return b.s.InOrder && a.started == 0 && slices.ContainsFunc(a.w.out, later)
+}
+
+// move calls back jobs that may be repeated: from a worker or a connection that has fallen silent, to
+// another that has room; safe ones also where they wait, as reports are late and rivals may have taken the
+// slot first; or for good when their aim is lost, as they would take a slot from jobs in time. Where reports
+// do not show the queue, one called off may run all the same, so it is not called back for waiting alone.
 func (b *Balancer) move() {
 	if !b.s.MayCancel || !b.s.SecondCopies {
 		return
@@ -519,15 +570,16 @@
 	b.waits = slices.DeleteFunc(b.waits, func(a *attempt) bool { return !a.out || a.left || a.r.over })
 	for _, a := range slices.Clone(b.waits) {
 		r, w := a.r, a.w
-		silent := b.now-max(w.heard, a.sent) > 4*b.s.DialTimeout+2*b.s.Progress && w.probeFails > 0
-		if r.c.Effect != Safe || r.held || !(silent || b.s.TellsQueue && b.stuck(a)) {
+		silent := w.mute && w.probeFails > 1 && b.now-max(w.heard, a.sent) > 4*b.s.DialTimeout+b.s.Progress
+		waits := r.c.Effect == Safe && (silent || b.s.TellsQueue && b.stuck(a))
+		if r.c.Effect == Unsafe || r.held || !(waits || silent || b.stalled(a)) {
 			continue
 		}
 		left := b.slack(r)
 		if len(b.held) == 0 { // nobody needs the slot: it may still be in time if it is a long one
 			left += b.run[r.Class] * max(r.c.Stretch-1, 0) / 2
 		}
-		if r.c.LateWorth == 0 && a.started == 0 && left < 0 {
+		if waits && r.c.LateWorth == 0 && a.started == 0 && left < 0 {
 			b.answer(r)
 			continue
 		}
@@ -599,6 +651,9 @@
 	if b.s.MayProbe && gap <= 2*b.horizon().Seconds() {
 		for _, w := range b.workers {
 			due := w.probed + time.Duration(gap*w.jitter*float64(time.Second))
+			if w.mute { // that it is back, and whether it has restarted, is to be known soon
+				due = min(due, w.probed+2*b.s.DialTimeout)
+			}
 			if !w.probing && b.now >= due {
 				b.probe(w)
 			} else if !w.probing {
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	started time.Duration // when the worker told that it runs; 0 if it has not
 	out     bool
 	never   bool          // known not to have run
+	heard   time.Duration // when its last note came
 	left    bool          // given up on: another attempt may replace it
 	share   float64       // done, by its last note ...
 	shareAt time.Duration // ... and when that came
@@ -48,6 +49,8 @@
 	jitter           float64       // the next probe follows after this times the usual gap
 	probing          bool
 	probeFails       int
+	mute             bool          // its last probe brought no answer
+	toldStart        time.Duration // its last start as the list tells it
 	heard            time.Duration // last sign of life
 	draw             float64       // the chance that decides while it is cold
 	drawn            time.Duration // until when it holds
@@ -83,6 +86,7 @@
 	reqs    map[string]*request
 	held    []*request
 	mute    int             // probes failed in a row, whichever the worker
+	okAt    time.Duration   // when a probe was last answered
 	home    *worker         // the one that this balancer looks at first
 	waits   []*attempt      // sent and not ended
 	run     []float64       // learned running time by class, seconds
@@ -98,6 +102,7 @@
 	delay   float64       // median seconds from a send to its start note, of late
 	tight   float64       // seconds of the tightest aim
 	quick   time.Duration // the shortest time from a send to its start note
+	usual   float64       // pace of the workers that have told it, on average
 	taken   int           // requests so far
 	rateN   float64       // requests of late, older ones weighing less ...
 	rateT   float64       // ... and the seconds in which they came
@@ -164,6 +169,12 @@
 	return b.s.MaxAttempts > 0 && len(r.attempts)+left >= b.s.MaxAttempts
 }
 
+// restarted drops what was known of a worker before its process started anew.
+func (w *worker) restarted() {
+	w.reported, w.fails, w.until, w.events = false, 0, 0, nil
+	w.guess, w.pace, w.paceAt = 1, 0, 0
+}
+
 // unlist takes a worker off the list once it is not named any more.
 func (w *worker) unlist() bool {
 	w.inList = w.told
@@ -219,7 +230,7 @@
 		s: s, act: act, rnd: seed, byID: map[string]*worker{}, reqs: map[string]*request{},
 		run:     make([]float64, len(s.Classes)),
 		patient: make([]time.Duration, len(s.Classes)), pace: s.DialTimeout, quick: s.DialTimeout,
-		retryAt: -1, trip: s.DialTimeout / 4,
+		retryAt: -1, trip: s.DialTimeout / 4, usual: 1,
 	}
 	for i, c := range s.Classes {
 		b.run[i] = c.Aim.Seconds()
@@ -238,9 +249,14 @@
 		b.byID[m.ID] = w
 		w.probed, w.jitter = b.now, b.chance()/4
 	} else if m.Started > w.Started { // restarted: what was known of it is void
-		w.reported, w.fails, w.until, w.events = false, 0, 0, nil
+		w.restarted()
 		w.probed = 0 // probe at once
 	}
+	if known := m.Started; known <= w.toldStart { // the list has not heard yet of a restart that a probe has shown
+		m.Started = max(known, w.Started)
+	} else {
+		w.toldStart = known
+	}
 	if !w.inList { // a place drawn by chance, so that balancers ask round in orders of their own
 		w.inList = true
 		b.workers = append(b.workers, w)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 const (
 	askWord     = "on_request"
 	silentWord  = "silent"
+	fifoWord    = "fifo"
 	freeSlots   = "free slots"
 	freeMemory  = "free memory"
 	fieldQueue  = "depth"
@@ -48,6 +49,7 @@
 		ClassKind          []int
 		ClassStretch       []float64
 		ProgressMs         float64
+		QueueOrder         string
 		ReportX0, ReportX1 string
 		TellsStart         bool
 	}
@@ -89,7 +91,7 @@
 		MaxAttempts: o.Limits.MaxAttempts, MayCancel: o.Limits.Cancelling, MayProbe: o.Limits.Probing,
 		SecondCopies: o.Limits.ParallelTries, MustAsk: o.Discovery == askWord,
 		DialTimeout: MS(o.Limits.DialTimeoutMs), Step: MS(o.StepMs),
-		TellsStart: o.FamilyInfo.TellsStart, Progress: MS(o.FamilyInfo.ProgressMs),
+		InOrder: o.FamilyInfo.QueueOrder == fifoWord, TellsStart: o.FamilyInfo.TellsStart, Progress: MS(o.FamilyInfo.ProgressMs),
 		ColdFrom: o.Obligations.ColdFrom, ColdFor: MS(o.Obligations.ColdMs),
 		FallMultiple: o.Obligations.FallMultiple, FallAfter: MS(o.Obligations.OverloadForMs),
 		PriceCross: o.Prices.CrossZone, PriceWaste: o.Prices.Waste, PriceLateFail: o.Prices.LateFail,
