Answer jobs that no worker can end in time at once, also on a silent connection

Cause: move() wanted a worker that still makes the aim, and once the aim was lost none did. Now hopeless() decides both there and for held jobs that may have run.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -451,15 +451,13 @@
 	return b.asked > 0
 }
 
-// expire answers held jobs whose aim is lost, where a late answer would earn nothing: one that may have run
-// once not even a standard core would do.
+// hopeless reports whether not even a standard core would end a job in time.
+func (b *Balancer) hopeless(r *request) bool { return r.Work > 0 && b.left(r) < r.Work.Seconds() }
+
+// expire answers held jobs whose aim is lost, where a late answer would earn nothing.
 func (b *Balancer) expire() {
 	for _, r := range slices.Clone(b.held) {
-		lost := b.slack(r) < 0
-		if r.maybeRan() != nil {
-			lost = r.Work > 0 && b.left(r) < r.Work.Seconds()
-		}
-		if r.c.LateWorth == 0 && lost {
+		if r.c.LateWorth == 0 && (b.slack(r) < 0 && r.maybeRan() == nil || b.hopeless(r)) {
 			b.answer(r)
 		}
 	}
@@ -551,7 +549,7 @@
 // fallen silent. A running job tells of its progress, and of two that wait in order the earlier starts first.
 func (b *Balancer) stalled(a *attempt) bool {
 	if b.s.Progress > 0 && a.started > 0 {
-		return b.now-a.heard > 3*b.s.Progress
+		return b.now-a.heard > 2*(b.s.Progress+b.s.DialTimeout)
 	}
 	later := func(x *attempt) bool {
 		return x.sent > a.sent+b.s.DialTimeout && x.started > 0 && b.now-x.started > b.s.DialTimeout
@@ -579,7 +577,7 @@
 		if len(b.held) == 0 { // nobody needs the slot: it may still be in time if it is a long one
 			left += b.run[r.Class] * max(r.c.Stretch-1, 0) / 2
 		}
-		if waits && r.c.LateWorth == 0 && a.started == 0 && left < 0 {
+		if r.c.LateWorth == 0 && (waits && a.started == 0 && left < 0 || b.hopeless(r)) {
 			b.answer(r)
 			continue
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -414,6 +414,27 @@
 	}
 }
 
+// Nothing is gained by waiting for a silent connection, or for room, once no worker could end the job in time: it
+// is given up, and what has been given up is answered at once.
+func TestHopelessIsAnswered(t *testing.T) {
+	s := settings()
+	s.SecondCopies, s.TellsStart, s.Progress = true, true, time.Second
+	s.Classes[0].Effect, s.Classes[0].Window, s.Classes[0].Scope = Keyed, time.Minute, SameCell
+	b, h := ready(t, s, map[string][2]float64{"w1": {9, 9}})
+	r := req("a", 1, 0)
+	r.Work = 500 * time.Millisecond // in time within 2 s
+	b.Accept(time.Second, r)
+	b.Note(time.Second, "a", 0, Started, 0)
+	b.Timer(3*time.Second, "")
+	if got := h.take("fail"); len(got) != 0 {
+		t.Errorf("its connection may still be alive: %v", got)
+	}
+	b.Timer(3600*time.Millisecond, "")
+	if got := strings.Join(h.take(""), ";"); !strings.Contains(got, "fail a") || !strings.Contains(got, "cancel a 0") {
+		t.Errorf("got %q", got)
+	}
+}
+
 func TestNewNamesTheField(t *testing.T) {
 	for _, c := range []struct {
 		want   string
