Take a peer's 4xx as the request's fault: one try, 400 to the client, no peer blamed

Cause: send.job called every status but 200 and 503/504 with X-Not-Run an Error, which the module counts against the peer and tries elsewhere. Now Rejected ends the request at once and leaves the peer's health alone; 408 and 429 speak of the peer and stay an Error. Ruled out: remembering the ids of ended requests; it cannot know those of other nodes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -137,6 +137,7 @@
 	Reset                // the connection broke; it may have run
 	Cancelled            // called off; it may have run
 	Moot                 // never sent
+	Rejected             // the worker finds the request itself at fault, as any other would; says nothing of its health
 )
 
 // Outcome is the end of one attempt.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -140,7 +140,8 @@
 	})
 }
 
-// Ended posts the end of a try. The first result goes to the client from here, and ends the request.
+// Ended posts the end of a try. The first result goes to the client from here, and ends the request; so does a
+// peer's word that the request is at fault, since no other peer would take it either.
 func (r *Stage) Ended(o balance.Outcome, result string) {
 	r.box.post(func() {
 		e := r.open[o.Request]
@@ -152,6 +153,10 @@
 			e.over = true
 			e.c.Finish(request.Answer{Verdict: request.Served, Result: result})
 		}
+		if o.Result == balance.Rejected && !e.over {
+			e.over = true
+			e.c.Finish(request.Answer{Verdict: request.Malformed, Reason: "turned away by the peer as faulty"})
+		}
 		o.Final = e.over
 		r.log.Debug("try", "id", o.Request, "attempt", o.Attempt, "peer", o.Worker, "result", o.Result, "took_ms", o.Took.Milliseconds())
 		r.b.Done(r.now(), o)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -108,6 +108,24 @@
 	h.want(t, "try a0 p")
 }
 
+// A request that a peer finds faulty is answered as such, and neither sent to others nor held against the peer.
+func TestRejected(t *testing.T) {
+	r, h := start(t)
+	for _, id := range []string{"a", "b", "c"} {
+		c := admitted(id)
+		r.Accept(c)
+		h.want(t, "try "+id+"0 p") // the only peer is not backed off
+		r.Ended(balance.Outcome{Request: id, Worker: "p", Result: balance.Rejected}, "")
+		if <-c.Ended(); c.Answer().Verdict != request.Malformed {
+			t.Errorf("%+v", c.Answer())
+		}
+	}
+	settle(r)
+	if len(r.open) != 0 || len(h.asked) != 0 {
+		t.Errorf("%d open, %d asked", len(r.open), len(h.asked))
+	}
+}
+
 // Discovery moves: the new address is asked at once, however long the old one has failed before.
 func TestMoved(t *testing.T) {
 	r, h := start(t)
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -100,6 +100,11 @@
 	case notRun && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
 		x.end(ending{result: balance.Full, report: rep})
 		return
+	case resp.StatusCode >= 400 && resp.StatusCode < 500 &&
+		resp.StatusCode != http.StatusRequestTimeout && resp.StatusCode != http.StatusTooManyRequests:
+		// Guards against one bad request that makes every peer look ill: it is at fault, not they.
+		x.end(ending{result: balance.Rejected, report: rep})
+		return
 	default: // whatever it says, it may have run
 		x.end(ending{result: balance.Error, report: rep})
 		return
