Keep a new connection 100 ms for its request when a rush makes others give way

Cause: Accept closed the oldest connection without a request however young it was; in a rush of hundreds a usual client's was the oldest before its goroutine had read the request that had come with it. Now one younger than SilentFor stays, idle ones go first, and the accept loop waits for the oldest to come of age; a connection is made a spare, to be refused, only when all carry requests.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -21,6 +21,7 @@
 	HeaderBytes  int           // of a message's header, from clients and peers alike
 	HeadSlack    int           // what the server may read beyond a head
 	BodyBytes    int64         // of a request
+	SilentFor    time.Duration // a new connection is kept for its request so long, however many wait to be accepted
 	HeadWait     time.Duration // for a request's head, from the connection's start or the head's first byte
 	BodyWait     time.Duration // for a request's body, from the end of its head
 	IdleWait     time.Duration // a client connection idle between requests for this long is closed
@@ -59,7 +60,7 @@
 // limits derives the Limits from the file's limits and the settings.
 func (f *file) limits(s settings.Settings) (Limits, error) {
 	l := Limits{
-		HeaderBytes: 16 << 10, HeadSlack: 16 << 10, BodyBytes: 64 << 10, HeadWait: 1500 * time.Millisecond, BodyWait: time.Second,
+		HeaderBytes: 16 << 10, HeadSlack: 16 << 10, BodyBytes: 64 << 10, SilentFor: 100 * time.Millisecond, HeadWait: 1500 * time.Millisecond, BodyWait: time.Second,
 		IdleWait: 5 * time.Minute, WriteWait: 5 * time.Second,
 		MaxPatience: time.Hour, AnswerMargin: 5 * time.Millisecond, RefusedFor: 250 * time.Millisecond,
 		DialWait: s.Balance.DialTimeout, ProbeWait: 200 * time.Millisecond, TailWait: time.Second,
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -53,40 +53,57 @@
 	for {
 		l.c.mu.Lock()
 		n := len(l.c.open)
-		if n >= l.c.limits.ClientConns && l.c.evict() {
-			n--
+		gone, young := n < l.c.limits.ClientConns, time.Duration(0)
+		if !gone {
+			gone, young = l.c.evict()
 		}
-		if n < l.c.limits.ClientConns+l.c.limits.SpareConns {
-			if n >= l.c.limits.ClientConns {
-				conn = spare{conn}
-			}
+		if !gone && young == 0 && n < l.c.limits.ClientConns+l.c.limits.SpareConns {
+			gone, conn = true, spare{conn}
+		}
+		if gone {
 			l.c.open[conn] = stand{http.StateNew, time.Now()}
 			l.c.mu.Unlock()
 			return conn, nil
 		}
 		l.c.mu.Unlock()
-		<-l.c.room // all carry requests: each of them ends
+		if young == 0 { // all carry requests: each of them ends
+			young = l.c.limits.IdleWait
+		}
+		timer := time.NewTimer(young)
+		select {
+		case <-l.c.room:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
-// evict closes the connection that is missed least and reports whether there is one; c.mu is held.
-func (c *connections) evict() bool {
+// evict closes the connection that is missed least and reports whether there was one; c.mu is held. If not, it
+// returns after what time the oldest one without a request may give way; 0 if all carry requests. It may not at
+// once: in a rush of connections the request of a usual client has come, but not been read yet.
+func (c *connections) evict() (gone bool, young time.Duration) {
 	var least net.Conn
 	for conn, s := range c.open {
 		if s.state == http.StateActive {
 			continue
 		}
+		if left := c.limits.SilentFor - time.Since(s.since); s.state == http.StateNew && left > 0 {
+			if young == 0 || left < young {
+				young = left
+			}
+			continue
+		}
 		if l := c.open[least]; least == nil || (s.state != l.state && s.state == http.StateNew) ||
 			(s.state == l.state && s.since.Before(l.since)) {
 			least = conn
 		}
 	}
 	if least == nil {
-		return false
+		return false, young
 	}
 	delete(c.open, least)
 	least.Close()
-	return true
+	return true, 0
 }
 
 // note is the server's ConnState hook.
