End a request's timers with it, and hand the node its machine

Need: the simulation to come runs the node on a virtual machine, so connections to peers and discovery and the order of events at one instant become things that a node is handed (internal/machine; the product hands in the real one).

Cause of the timer fault: Balancer.Timer answered whatever request bore the id at that moment, and route's timers lived for the client's whole patience. A request that used an id again was answered 503 by the timer of the first one. Timer now asks whether the request's own end has come, and route stops a request's timers when it is over, so that thousands of dead ones no longer wait in memory.

Places in the pool of peer connections are reserved in the order of the decisions: two tries at one instant raced for an idle connection. Serve closes its peer and discovery connections and the books' timer before it returns. Ties between client connections that are to give way are broken by their age in accepts, not by map order.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -326,7 +326,7 @@
 // Timer takes a timer's end.
 func (b *Balancer) Timer(now time.Duration, id string) {
 	b.now = now
-	if r := b.reqs[id]; id != "" && r != nil && !r.over {
+	if r := b.reqs[id]; id != "" && r != nil && !r.over && now+b.s.Step >= r.end { // not an earlier one's
 		b.answer(r)
 	}
 	b.move()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -486,6 +486,24 @@
 	}
 }
 
+// The timer of an earlier request strikes no later one that uses its id again.
+func TestTimerOfAnEarlierRequest(t *testing.T) {
+	b, h := ready(t, settings(), map[string][2]float64{"w1": {4, 9}})
+	q := req("r", 1, 0)
+	q.Patience = 2 * time.Second
+	b.Accept(time.Second, q)
+	b.Done(1200*time.Millisecond, Outcome{Request: "r", Worker: "w1", Result: OK, Final: true})
+	b.Accept(2500*time.Millisecond, q)
+	b.Timer(3*time.Second, "r") // wound by the first
+	if got := append(h.take("refuse"), h.take("fail")...); len(got) != 0 {
+		t.Errorf("the second was answered: %v", got)
+	}
+	b.Timer(4500*time.Millisecond, "r") // its own
+	if got := append(h.take("refuse"), h.take("fail")...); len(got) != 1 {
+		t.Errorf("the second has its end: %v", got)
+	}
+}
+
 // What is no longer known is ignored, and a report out of range is not used as room.
 func TestUnknownAndOutOfRange(t *testing.T) {
 	b, h := ready(t, settings(), map[string][2]float64{"w1": {0, 9}})
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 	"swiftdeal/internal/node"
 )
 
@@ -59,7 +60,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	reloads := make(chan *config.Config)
 	go reread(hup, reloads, log)
-	return node.Serve(ctx, c, ln, log, reloads)
+	return node.Serve(ctx, machine.Real(), c, ln, log, reloads)
 }
 
 // reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -21,7 +21,7 @@
 	lost  int           // answers that the client did not take
 	took  time.Duration // by all requests that were served
 	noted int           // requests told in the log so far
-	timer *time.Timer
+	timer *time.Timer   // nil once the books are closed
 }
 
 // New returns the stage.
@@ -50,7 +50,22 @@
 
 func (s *Stage) tell() {
 	s.Tell()
-	s.timer.Reset(s.limits.BookEvery)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Reset(s.limits.BookEvery)
+	}
+}
+
+// End writes the books for the last time.
+func (s *Stage) End() {
+	s.mu.Lock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	s.mu.Unlock()
+	s.Tell()
 }
 
 // Tell writes the books to the log if anything has been booked since the last time.
--- /dev/null
+++ b/internal/machine/machine.go
@@ -0,0 +1,54 @@
+// Package machine is what a node asks of the machine it runs on beyond the standard library's clocks and timers:
+// connections to other machines, and the order in which things that happen at one instant are handled. The product
+// always runs on Real; a simulation hands in a machine of its own, and the node's code stays the same.
+package machine
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Dial opens a TCP connection to an address (host:port). It fails after wait, or when ctx ends. purpose says what
+// the connection is opened for; it is for traces and means nothing to the network.
+type Dial func(ctx context.Context, addr string, wait time.Duration, purpose string) (net.Conn, error)
+
+// Source is where an event of the node's mailbox comes from. Events of one source are handled in the order in which
+// they were posted.
+type Source struct {
+	Kind byte   // one of the letters below
+	ID   string // the request's id, or the peer's; empty if there is none
+	N    int    // the try's number
+}
+
+// Kinds of source.
+const (
+	Client    byte = 'c' // a request that arrives, leaves or runs out of time
+	Discovery byte = 'd'
+	Drain     byte = 'e'
+	Probe     byte = 'p'
+	Timer     byte = 't'
+	Try       byte = 'y'
+)
+
+// Order decides which of the events that were posted at one instant is handled next.
+type Order interface {
+	// Settle returns once all that happens at this instant has been posted.
+	Settle()
+	// Before reports whether an event of the first source goes before one of the second; they differ.
+	Before(a, b Source) bool
+}
+
+// Machine is the machine that a node runs on.
+type Machine struct {
+	Dial  Dial
+	Order Order // nil: events are handled as they come
+}
+
+// Real is the machine that the process runs on.
+func Real() Machine {
+	return Machine{Dial: func(ctx context.Context, addr string, wait time.Duration, _ string) (net.Conn, error) {
+		// No keep-alive probes: how long a connection may be silent is a limit of the code that uses it.
+		return (&net.Dialer{Timeout: wait, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	}}
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -19,6 +19,7 @@
 	limits config.Limits
 	mu     sync.Mutex
 	open   map[net.Conn]stand
+	taken  int           // connections accepted so far
 	room   chan struct{} // told of each connection that ends or becomes idle
 }
 
@@ -26,6 +27,12 @@
 type stand struct {
 	state http.ConnState
 	since time.Time
+	nth   int // of those accepted: it decides between two that have stood for equally long
+}
+
+// longer reports whether a connection has stood for longer than another.
+func (s stand) longer(o stand) bool {
+	return s.since.Before(o.since) || (s.since.Equal(o.since) && s.nth < o.nth)
 }
 
 func newConnections(l config.Limits) *connections {
@@ -61,7 +68,8 @@
 			gone, conn = true, spare{conn}
 		}
 		if gone {
-			l.c.open[conn] = stand{http.StateNew, time.Now()}
+			l.c.taken++
+			l.c.open[conn] = stand{http.StateNew, time.Now(), l.c.taken}
 			l.c.mu.Unlock()
 			return conn, nil
 		}
@@ -94,7 +102,7 @@
 			continue
 		}
 		if l := c.open[least]; least == nil || (s.state != l.state && s.state == http.StateNew) ||
-			(s.state == l.state && s.since.Before(l.since)) {
+			(s.state == l.state && s.longer(l)) {
 			least = conn
 		}
 	}
@@ -110,7 +118,8 @@
 func (c *connections) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.open[conn]; !ok { // it has given way
+	s, ok := c.open[conn]
+	if !ok { // it has given way
 		return
 	}
 	switch state {
@@ -119,7 +128,7 @@
 	case http.StateNew: // counted when it was accepted
 		return
 	default:
-		c.open[conn] = stand{state, time.Now()}
+		c.open[conn] = stand{state, time.Now(), s.nth}
 	}
 	if state != http.StateActive {
 		select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"swiftdeal/internal/admit"
 	"swiftdeal/internal/book"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 	"swiftdeal/internal/relay"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/route"
@@ -36,11 +37,11 @@
 }
 
 // Serve runs a node on the listener until the context ends, and then drains it. Each new configuration that
-// comes meanwhile, also while it drains, is put into effect.
-func Serve(ctx context.Context, c *config.Config, ln net.Listener, log *slog.Logger, reloads <-chan *config.Config) error {
+// comes meanwhile, also while it drains, is put into effect. When it returns, nothing that it has started goes on.
+func Serve(ctx context.Context, m machine.Machine, c *config.Config, ln net.Listener, log *slog.Logger, reloads <-chan *config.Config) error {
 	s := c.Settings.Balance
 	s.MustAsk = true // over sockets no list comes unasked, whatever the settings say of the simulator's
-	r, err := route.New(s, c.Seed, log)
+	r, err := route.New(s, c.Seed, m.Order, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -51,7 +52,11 @@
 	}
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
-	go r.Run(work, send.New(c.Limits, c.Settings, r), upstream.New(c.Limits, c.Discovery, c.Known.Version, r))
+	peers, group := send.New(c.Limits, c.Settings, m.Dial, r), upstream.New(c.Limits, m.Dial, c.Discovery, c.Known.Version, r)
+	defer peers.Close()
+	defer group.Close()
+	defer n.book.End()
+	go r.Run(work, peers, group)
 	r.Listed(balance.ListCached, c.Known)
 	go n.reload(work, c, reloads)
 	srv := &http.Server{
@@ -70,7 +75,6 @@
 	log.Info("draining", "open", n.admit.Open(), "connections", n.conns.count())
 	n.drain(ln)
 	srv.Close()
-	n.book.Tell()
 	log.Info("drained", "open", n.admit.Open())
 	return nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 )
 
 // world is a node between a toy peer and a toy discovery, all on loopback.
@@ -77,7 +78,7 @@
 	w.config = c
 	ctx, stop := context.WithCancel(t.Context())
 	w.addr, w.stop = ln.Addr().String(), stop
-	go func() { w.ended <- Serve(ctx, c, ln, slog.New(slog.DiscardHandler), w.reloads) }()
+	go func() { w.ended <- Serve(ctx, machine.Real(), c, ln, slog.New(slog.DiscardHandler), w.reloads) }()
 	for w.status("GET", "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/route/mailbox.go
+++ b/internal/route/mailbox.go
@@ -1,20 +1,30 @@
 package route
 
-import "sync"
+import (
+	"sync"
+
+	"swiftdeal/internal/machine"
+)
+
+// event is a piece of news for the owner of the Balancer.
+type event struct {
+	from machine.Source
+	run  func()
+}
 
 // mailbox is a queue without bound: posting never blocks, so that no stage can wait for another in a ring.
 // What it holds is bounded by the open requests and the timers and tries they have.
 type mailbox struct {
 	mu     sync.Mutex
-	events []func()
+	events []event
 	ready  chan struct{}
 }
 
 func newMailbox() *mailbox { return &mailbox{ready: make(chan struct{}, 1)} }
 
-func (m *mailbox) post(event func()) {
+func (m *mailbox) post(from machine.Source, run func()) {
 	m.mu.Lock()
-	m.events = append(m.events, event)
+	m.events = append(m.events, event{from, run})
 	m.mu.Unlock()
 	select {
 	case m.ready <- struct{}{}:
@@ -23,10 +33,28 @@
 }
 
 // take returns all events posted so far, in their order.
-func (m *mailbox) take() []func() {
+func (m *mailbox) take() []event {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	events := m.events
 	m.events = nil
 	return events
 }
+
+// first takes the one event that goes before all others by the given order, and of one source the eldest.
+func (m *mailbox) first(o machine.Order) (e event, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.events) == 0 {
+		return e, false
+	}
+	at := 0
+	for i := range m.events {
+		if m.events[i].from != m.events[at].from && o.Before(m.events[i].from, m.events[at].from) {
+			at = i
+		}
+	}
+	e = m.events[at]
+	m.events = append(m.events[:at], m.events[at+1:]...)
+	return e, true
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 	"swiftdeal/internal/request"
 )
 
@@ -32,6 +33,7 @@
 	cancels []func() // of its tries, by number
 	out     int      // tries that have not ended
 	over    bool
+	timers  []*time.Timer
 }
 
 // Stage routes requests. It implements balance.Actions.
@@ -42,14 +44,15 @@
 	upstream Upstream
 	open     map[string]*entry
 	log      *slog.Logger
+	order    machine.Order // of events at one instant; nil: as they come
 	start    time.Time
 	held     chan struct{} // closed once an upstream group that is not empty is held
 	holds    bool
 }
 
 // New returns the stage, or an error that names the setting that cannot be right.
-func New(s balance.Settings, seed uint64, log *slog.Logger) (*Stage, error) {
-	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, start: time.Now(), held: make(chan struct{})}
+func New(s balance.Settings, seed uint64, order machine.Order, log *slog.Logger) (*Stage, error) {
+	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, start: time.Now(), held: make(chan struct{})}
 	var err error
 	r.b, err = balance.New(s, seed, r)
 	return r, err
@@ -63,10 +66,26 @@
 		case <-ctx.Done():
 			return
 		case <-r.box.ready:
-			for _, event := range r.box.take() {
-				event()
+			if r.order != nil {
+				r.inOrder()
+				continue
 			}
+			for _, e := range r.box.take() {
+				e.run()
+			}
+		}
+	}
+}
+
+// inOrder handles events one at a time, each once all else that happens at its instant has been posted.
+func (r *Stage) inOrder() {
+	for {
+		r.order.Settle()
+		e, ok := r.box.first(r.order)
+		if !ok {
+			return
 		}
+		e.run()
 	}
 }
 
@@ -81,7 +100,7 @@
 
 // Accept posts a request that was admitted.
 func (r *Stage) Accept(c *request.Context) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
 		if r.open[c.ID] != nil { // an earlier one of this id is over, but a try of it is still out
 			c.Finish(request.Answer{Verdict: request.Malformed, Reason: "X-Request-Id: in use by an open request"})
 			return
@@ -94,7 +113,7 @@
 // Vanished posts the news that a request is over without the Balancer: its client left, or the backstop
 // answered.
 func (r *Stage) Vanished(c *request.Context) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
 		if e := r.open[c.ID]; e != nil && e.c == c && !e.over {
 			r.b.Vanished(r.now(), c.ID)
 			r.close(e)
@@ -104,7 +123,7 @@
 
 // Listed posts news of the upstream group.
 func (r *Stage) Listed(kind balance.List, g config.Group) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
 		if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges {
 			r.sender.Update(g) // first: the Balancer may send to a peer as soon as it hears of it
 		}
@@ -118,7 +137,7 @@
 
 // Moved posts discovery's new address. The Balancer asks there at once.
 func (r *Stage) Moved(addr string) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
 		r.upstream.Move(addr)
 		r.b.Members(r.now(), balance.ListMoved, nil)
 	})
@@ -126,7 +145,7 @@
 
 // Ends posts the news that the node will be stopped at the given time.
 func (r *Stage) Ends(at time.Time) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Drain}, func() {
 		now := r.now()
 		r.b.Ends(now, now+time.Until(at))
 	})
@@ -134,7 +153,7 @@
 
 // Advanced posts news about a try that is still out.
 func (r *Stage) Advanced(id string, attempt int, kind balance.NoteKind, share float64) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Try, ID: id, N: attempt}, func() {
 		r.log.Debug("note", "id", id, "attempt", attempt, "kind", kind, "share", share)
 		r.b.Note(r.now(), id, attempt, kind, share)
 	})
@@ -143,18 +162,18 @@
 // Ended posts the end of a try. The first result goes to the client from here, and ends the request; so does a
 // peer's word that the request is at fault, since no other peer would take it either.
 func (r *Stage) Ended(o balance.Outcome, result string) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Try, ID: o.Request, N: o.Attempt}, func() {
 		e := r.open[o.Request]
 		if e == nil {
 			return
 		}
 		e.out--
 		if o.Result == balance.OK && !e.over {
-			e.over = true
+			e.end()
 			e.c.Finish(request.Answer{Verdict: request.Served, Result: result})
 		}
 		if o.Result == balance.Rejected && !e.over {
-			e.over = true
+			e.end()
 			e.c.Finish(request.Answer{Verdict: request.Malformed, Reason: "turned away by the peer as faulty"})
 		}
 		o.Final = e.over
@@ -166,15 +185,23 @@
 
 // Probed posts the result of a probe.
 func (r *Stage) Probed(peer string, res balance.Result, rep *balance.Report) {
-	r.box.post(func() {
+	r.box.post(machine.Source{Kind: machine.Probe, ID: peer}, func() {
 		r.log.Debug("probe", "peer", peer, "result", res, "report", rep)
 		r.b.Probed(r.now(), peer, res, rep)
 	})
 }
 
-// close marks a request as over.
-func (r *Stage) close(e *entry) {
+// end marks a request as over.
+func (e *entry) end() {
 	e.over = true
+	for _, t := range e.timers {
+		t.Stop()
+	}
+}
+
+// close ends a request, and forgets it unless tries of it are out.
+func (r *Stage) close(e *entry) {
+	e.end()
 	r.forget(e)
 }
 
@@ -234,7 +261,13 @@
 // Fetch implements balance.Actions.
 func (r *Stage) Fetch() { r.upstream.Fetch() }
 
-// After implements balance.Actions.
+// After implements balance.Actions. The timer of a request ends with it: one that outlived it would cost memory for
+// the whole patience of a client that was answered at once, and would strike a later request of the same id.
 func (r *Stage) After(d time.Duration, id string) {
-	time.AfterFunc(d, func() { r.box.post(func() { r.b.Timer(r.now(), id) }) })
+	t := time.AfterFunc(d, func() {
+		r.box.post(machine.Source{Kind: machine.Timer, ID: id}, func() { r.b.Timer(r.now(), id) })
+	})
+	if e := r.open[id]; e != nil {
+		e.timers = append(e.timers, t)
+	}
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -8,6 +8,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 	"swiftdeal/internal/request"
 )
 
@@ -36,7 +37,7 @@
 	r, err := New(balance.Settings{
 		MayCancel: true, MustAsk: true, MaxAttempts: 4, DialTimeout: time.Second,
 		Classes: []balance.Class{{Name: "job", Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1}},
-	}, 1, slog.New(slog.DiscardHandler))
+	}, 1, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +58,7 @@
 // settle waits until all events posted so far are handled.
 func settle(r *Stage) {
 	done := make(chan struct{})
-	r.box.post(func() { close(done) })
+	r.box.post(machine.Source{}, func() { close(done) })
 	<-done
 }
 
@@ -162,14 +163,57 @@
 	}
 }
 
+// byName is an order in which sources go by their ids.
+type byName struct{}
+
+func (byName) Settle()                         {}
+func (byName) Before(a, b machine.Source) bool { return a.ID < b.ID }
+
+// Under an order of its own, a machine hands out what came at one instant by source, and each source's news as
+// they came.
+func TestMailboxInOrder(t *testing.T) {
+	m, got := newMailbox(), ""
+	for i, id := range []string{"b", "a", "b", "c", "a"} {
+		m.post(machine.Source{ID: id}, func() { got += fmt.Sprint(id, i, " ") })
+	}
+	for e, ok := m.first(byName{}); ok; e, ok = m.first(byName{}) {
+		e.run()
+	}
+	if got != "a1 a4 b0 b2 c3 " {
+		t.Error(got)
+	}
+}
+
+// A request's timer ends with it: a later request that uses the id again is none of its business.
+func TestTimersEnd(t *testing.T) {
+	r, h := start(t)
+	c := admitted("a")
+	r.Accept(c)
+	h.want(t, "try a0 p")
+	posted := make(chan *entry, 1)
+	r.box.post(machine.Source{}, func() { posted <- r.open["a"] })
+	e := <-posted
+	r.Ended(balance.Outcome{Request: "a", Worker: "p", Result: balance.OK}, "result")
+	<-c.Ended()
+	settle(r)
+	for _, timer := range e.timers {
+		if timer.Stop() {
+			t.Error("a timer outlives its request")
+		}
+	}
+	if len(e.timers) == 0 {
+		t.Error("no timer was wound")
+	}
+}
+
 // Events are handled in the order in which they were posted, and posting never blocks.
 func TestMailbox(t *testing.T) {
 	m, got := newMailbox(), []int{}
 	for i := range 1000 {
-		m.post(func() { got = append(got, i) })
+		m.post(machine.Source{}, func() { got = append(got, i) })
 	}
-	for _, event := range m.take() {
-		event()
+	for _, e := range m.take() {
+		e.run()
 	}
 	for i, v := range got {
 		if i != v {
--- a/internal/send/exchange.go
+++ b/internal/send/exchange.go
@@ -17,6 +17,7 @@
 // would be a second copy that nobody decided on.
 type exchange struct {
 	peer   string
+	name   string // of what it carries, for traces
 	method string
 	start  time.Time
 	read   func(*http.Response) // reads the answer and calls end
@@ -57,8 +58,8 @@
 }
 
 // run sends the request over a connection of the pool. The connection's reader ends the exchange.
-func (x *exchange) run(ctx context.Context, p *pool, text []byte) {
-	c, err := p.get(ctx, x)
+func (x *exchange) run(ctx context.Context, p *pool, at place, text []byte) {
+	c, err := p.open(ctx, x, at)
 	if err != nil {
 		if errors.Is(err, errFull) {
 			x.end(ending{result: balance.Moot})
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -14,6 +14,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 )
 
 // errFull says that all the connections that the node may have to peers are in use.
@@ -36,12 +37,17 @@
 type pool struct {
 	limits config.Limits
 	mu     sync.Mutex
+	dial   machine.Dial
 	addrs  map[string]string
 	idle   []*conn // of all peers, the newest last
-	count  int     // connections that are open or coming up
+	all    map[*conn]bool
+	count  int // connections that are open or coming up
+	closed bool
 }
 
-func newPool(l config.Limits) *pool { return &pool{limits: l, addrs: map[string]string{}} }
+func newPool(l config.Limits, d machine.Dial) *pool {
+	return &pool{limits: l, dial: d, addrs: map[string]string{}, all: map[*conn]bool{}}
+}
 
 // update keeps the peers' addresses; idle connections to a peer that is gone or has moved are closed.
 func (p *pool) update(g config.Group) {
@@ -62,37 +68,57 @@
 	}
 }
 
-// get returns a connection for an exchange: the newest idle one to the peer, or a new one.
-func (p *pool) get(ctx context.Context, x *exchange) (*conn, error) {
+// place is what an exchange has been given in the pool: an idle connection, or leave to open one.
+type place struct {
+	c    *conn
+	addr string
+	err  error
+}
+
+// reserve gives an exchange the newest idle connection to its peer, or the right to a new one. It does not wait, so
+// that exchanges get their places in the order in which they were decided.
+func (p *pool) reserve(x *exchange) place {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; c.peer == x.peer {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			c.timer.Stop()
 			c.use = x
-			p.mu.Unlock()
-			return c, nil
+			return place{c: c}
 		}
 	}
-	addr := p.addrs[x.peer]
+	if p.closed {
+		return place{err: net.ErrClosed}
+	}
 	if p.count >= p.limits.PeerConns { // the oldest idle one gives way
 		if len(p.idle) == 0 {
-			p.mu.Unlock()
-			return nil, errFull
+			return place{err: errFull}
 		}
 		p.remove(p.idle[0])
 	}
 	p.count++
-	p.mu.Unlock()
-	d := net.Dialer{Timeout: p.limits.DialWait, KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	return place{addr: p.addrs[x.peer]}
+}
+
+// open returns the connection of a place, a new one where it has none yet.
+func (p *pool) open(ctx context.Context, x *exchange, at place) (*conn, error) {
+	if at.c != nil || at.err != nil {
+		return at.c, at.err
+	}
+	raw, err := p.dial(ctx, at.addr, p.limits.DialWait, x.name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && p.closed {
+		raw.Close()
+		err = net.ErrClosed
+	}
 	if err != nil {
-		p.mu.Lock()
 		p.count--
-		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: addr, use: x}
+	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: at.addr, use: x}
+	p.all[c] = true
 	c.limit = &io.LimitedReader{R: raw, N: math.MaxInt64}
 	c.r = bufio.NewReaderSize(c.limit, 4<<10)
 	go c.serve()
@@ -111,12 +137,25 @@
 	}
 }
 
+// close ends all connections, those in use too, and lets no new one up.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range slices.Clone(p.idle) {
+		p.remove(c)
+	}
+	for c := range p.all {
+		c.Close()
+	}
+}
+
 // put makes a connection idle. It reports whether it was still in use and may go on.
 func (p *pool) put(c *conn) bool {
 	c.SetReadDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.addrs[c.peer] != c.addr {
+	if p.addrs[c.peer] != c.addr || p.closed {
 		return false
 	}
 	c.use = nil
@@ -142,6 +181,7 @@
 		c.Close()
 		c.pool.mu.Lock()
 		c.pool.remove(c)
+		delete(c.pool.all, c)
 		c.pool.count--
 		c.pool.mu.Unlock()
 	}()
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -16,6 +16,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/settings"
 )
@@ -37,28 +38,31 @@
 }
 
 // New returns the stage.
-func New(l config.Limits, s settings.Settings, events Events) *Stage {
-	st := &Stage{limits: l, layout: s.Layout, pool: newPool(l), events: events, path: "/health"}
+func New(l config.Limits, s settings.Settings, d machine.Dial, events Events) *Stage {
+	st := &Stage{limits: l, layout: s.Layout, pool: newPool(l, d), events: events, path: "/health"}
 	if s.Reports {
 		st.path = "/status/load"
 	}
 	return st
 }
 
+// Close ends all connections to peers. Tries that are out end as resets.
+func (s *Stage) Close() { s.pool.close() }
+
 // Update takes news of the upstream group.
 func (s *Stage) Update(g config.Group) { s.pool.update(g) }
 
 // Try starts a try of a request at a peer.
 func (s *Stage) Try(c *request.Context, attempt int, peer string) (cancel func()) {
-	x := &exchange{peer: peer, method: c.Method}
+	x := &exchange{peer: peer, name: c.ID, method: c.Method}
 	x.read = func(resp *http.Response) { s.job(x, c.ID, attempt, resp) }
 	x.done = func(e ending) {
 		s.events.Ended(balance.Outcome{
 			Request: c.ID, Attempt: attempt, Worker: peer, Result: e.result, Took: e.took, Report: e.report,
 		}, e.text)
 	}
-	ctx := x.begin(c.Deadline)
-	go func() { x.run(ctx, s.pool, head(c)) }()
+	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
+	go func() { x.run(ctx, s.pool, at, head(c)) }()
 	return func() { x.cancel(errCancelled) }
 }
 
@@ -167,11 +171,11 @@
 
 // Probe asks a peer for its load report.
 func (s *Stage) Probe(peer string) {
-	x := &exchange{peer: peer, method: http.MethodGet}
+	x := &exchange{peer: peer, name: "probe", method: http.MethodGet}
 	x.read = func(resp *http.Response) { s.load(x, resp) }
 	x.done = func(e ending) { s.events.Probed(peer, e.result, e.report) }
-	ctx := x.begin(time.Now().Add(s.limits.ProbeWait))
-	go x.run(ctx, s.pool, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer))
+	ctx, at := x.begin(time.Now().Add(s.limits.ProbeWait)), s.pool.reserve(x)
+	go x.run(ctx, s.pool, at, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer))
 }
 
 // load reads the answer to a probe.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -15,6 +15,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 )
 
 // Events is told the news: a failed call once, whatever went wrong with it.
@@ -25,6 +26,7 @@
 // Client asks discovery. Each call is made once; the decision module says when to ask again.
 type Client struct {
 	limits config.Limits
+	dial   machine.Dial
 	events Events
 
 	mu      sync.Mutex
@@ -36,8 +38,8 @@
 }
 
 // New returns a client that holds the group of the given version.
-func New(l config.Limits, addr string, version int64, events Events) *Client {
-	c := &Client{limits: l, addr: addr, version: version, events: events, stop: func() {}}
+func New(l config.Limits, d machine.Dial, addr string, version int64, events Events) *Client {
+	c := &Client{limits: l, dial: d, addr: addr, version: version, events: events, stop: func() {}}
 	c.here, c.moved = context.WithCancel(context.Background())
 	return c
 }
@@ -53,6 +55,13 @@
 	c.here, c.moved = context.WithCancel(context.Background())
 }
 
+// Close ends all calls; none of them tells anything any more.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moved()
+}
+
 // Watch asks for changes from the last version on. A watch that is on is replaced, and ends untold.
 func (c *Client) Watch() {
 	c.mu.Lock()
@@ -81,8 +90,7 @@
 }
 
 func (c *Client) try(ctx context.Context, addr, path string, read func(context.Context, net.Conn, io.Reader) error) error {
-	d := net.Dialer{Timeout: c.limits.ListWait}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := c.dial(ctx, addr, c.limits.ListWait, path)
 	if err != nil {
 		return err
 	}
