--- a/balance/state.go
+++ b/balance/state.go
@@ -130,6 +130,14 @@
 	return 0
 }
 
+// Charged is how many attempts a worker is charged with, for hosts that check their books against the balancer's.
+func (b *Balancer) Charged(worker string) int {
+	if w := b.byID[worker]; w != nil {
+		return len(w.out)
+	}
+	return 0
+}
+
 // since sums what own sends and ends after t changed.
 func (w *worker) since(t time.Duration) (slots, memory float64) {
 	for _, e := range w.events {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -35,6 +35,9 @@
 type Order interface {
 	// Settle returns once all that happens at this instant has been posted.
 	Settle()
+	// Owner hands over, once, a way to ask how many tries the node charges a peer with. It may be used while the node
+	// is at rest.
+	Owner(charges func(peer string) int)
 	// Before reports whether an event of the first source goes before one of the second; they differ.
 	Before(a, b Source) bool
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -55,6 +55,9 @@
 	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, start: time.Now(), held: make(chan struct{})}
 	var err error
 	r.b, err = balance.New(s, seed, r)
+	if err == nil && order != nil {
+		order.Owner(r.b.Charged)
+	}
 	return r, err
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -167,6 +167,7 @@
 type byName struct{}
 
 func (byName) Settle()                         {}
+func (byName) Owner(func(string) int)          {}
 func (byName) Before(a, b machine.Source) bool { return a.ID < b.ID }
 
 // Under an order of its own, a machine hands out what came at one instant by source, and each source's news as
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,430 @@
+// Package rules holds the four rules of a node as a checker. It reads a trace of events, with their times, from
+// whatever host there is (a simulation, or real sockets that are listened in on), does no I/O and reads no clock.
+// It knows nothing of how a node decides: it sees what went over the network and what was told.
+//
+//  1. Each request taken gets one final answer in time, and none that no peer made.
+//  2. A request that may have run goes out again only within what its class allows.
+//  3. Nothing new goes to a peer once its drain, or its end, was told and the time to stop has passed.
+//  4. No cold peer is sent more than the stated multiple of what it can do.
+package rules
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"swiftdeal/balance"
+)
+
+// Kind is the kind of an event.
+type Kind int
+
+// Kinds of event. The fields that each one uses stand behind it; At, always set, is the time since any fixed start.
+const (
+	PeerUp   Kind = iota // Peer, Zone, Cell, Capacity (work a second when warm), Cold: a process starts
+	PeerDown             // Peer: it ends
+	Told                 // Node, Peer, State, Zone, Cell: discovery's word reaches the node
+	Taken                // Node, Request, Class, Until (when the client gives up): a request's last byte has come
+	Left                 // Node, Request: its client has given up
+	Answered             // Node, Request, Verdict, Result: the last byte of the answer is written
+	Dropped              // Node, Request: the node ended the connection with no whole answer
+	Sent                 // Node, Request, Try, Peer: the first byte of a try is written
+	Arrived              // Node, Request, Try, Peer, Work: its last byte has come to the peer
+	Made                 // Request, Peer, Result: a peer has made a result
+	Ended                // Try, Never: the node has been told how a try ended; Never if that proves it never ran
+	Off                  // Try: the node has given a try up
+	Killed               // Node, Until: it is dead; what it had taken before Until is excused
+)
+
+var kindNames = [...]string{"peer up", "peer down", "told", "taken", "left", "answered", "dropped", "sent", "arrived",
+	"made", "ended", "off", "killed"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Verdict is what an answer tells its client.
+type Verdict int
+
+// Verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // promises nothing
+)
+
+func (v Verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
+
+// Event is one entry of a trace.
+type Event struct {
+	At       time.Duration
+	Kind     Kind
+	Node     string
+	Request  string
+	Peer     string
+	Try      int // a number that no other try of the trace has
+	Class    int
+	Until    time.Duration
+	Verdict  Verdict
+	Result   string
+	Never    bool
+	First    bool // of Dropped: it was the connection's first request
+	State    balance.State
+	Zone     string
+	Cell     string
+	Capacity float64
+	Cold     bool
+	Work     float64 // in the unit of Capacity times seconds
+}
+
+// Config is what the rules depend on. Times of zero are bounds of zero, but for ColdFor and FallAfter: without them
+// the fourth rule does not apply.
+type Config struct {
+	Classes      []balance.Class
+	AnswerGrace  time.Duration // an answer may come so long after its client gave up
+	DrainGrace   time.Duration // sends may go on for so long after a drain was told
+	WindowSlack  time.Duration // repeats may come so long after the window of a keyed class
+	ToldAfter    time.Duration // what discovery has to tell counts as told so long after it happened; 0: only when told
+	MaxAttempts  int           // 0 for no limit
+	SecondCopies bool
+	ColdFrom     float64
+	ColdFor      time.Duration
+	FallMultiple float64
+	FallAfter    time.Duration
+}
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule    int // 1 to 4
+	At      time.Duration
+	Node    string
+	Request string
+	Peers   []string
+	Text    string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("rule %d at %v: %s (node %s, request %s, peers %v)", v.Rule, v.At, v.Text, v.Node, v.Request, v.Peers)
+}
+
+type try struct {
+	peer, zone, cell string
+	sent             time.Duration
+	out, never       bool
+}
+
+type job struct {
+	id, node string
+	class    int
+	taken    time.Duration
+	due      time.Duration // the answer must have come by then
+	tries    []*try
+	answers  int
+	over     bool          // answered, left by its client, or its node is dead
+	left     time.Duration // when its client left
+	shared   bool          // its id is another's too: what goes out under it cannot be told apart
+}
+
+type peer struct {
+	id, zone, cell string
+	capacity       float64
+	started        time.Duration
+	cold, up       bool
+	told           map[string]told // by node: the last word
+	loads          []load
+}
+
+type told struct {
+	state balance.State
+	at    time.Duration // when it turned to what it is
+	up    time.Duration // when this node was last told of the process that runs
+}
+
+type load struct {
+	at   time.Duration
+	work float64
+	node string
+}
+
+// Checker checks a trace.
+type Checker struct {
+	c     Config
+	jobs  map[[2]string]*job // by node and id
+	made  map[[2]string]bool // by request and result
+	tries map[int]*try       // those that are out
+	owner map[int]*job
+	out   map[[2]string]int // how many, by node and peer
+	peers map[string]*peer
+	due   dueHeap
+	found []Violation
+	last  time.Duration
+}
+
+// New returns a checker.
+func New(c Config) *Checker {
+	return &Checker{c: c, jobs: map[[2]string]*job{}, made: map[[2]string]bool{}, tries: map[int]*try{}, owner: map[int]*job{}, out: map[[2]string]int{},
+		peers: map[string]*peer{}}
+}
+
+// Step takes the next event and returns the rules that it breaks. Events must come in the order of their times.
+func (c *Checker) Step(e Event) []Violation {
+	c.found = nil
+	if e.At < c.last {
+		panic(fmt.Sprintf("rules: an event of %v after one of %v", e.At, c.last))
+	}
+	c.Until(e.At)
+	switch e.Kind {
+	case PeerUp:
+		p := c.peer(e.Peer)
+		p.zone, p.cell, p.capacity, p.started, p.cold, p.up, p.loads = e.Zone, e.Cell, e.Capacity, e.At, e.Cold, true, nil
+	case PeerDown:
+		c.peer(e.Peer).up = false
+	case Told:
+		p := c.peer(e.Peer)
+		if p.zone == "" {
+			p.zone, p.cell = e.Zone, e.Cell
+		}
+		was, known := p.told[e.Node]
+		if !known || (was.state == balance.Ready) != (e.State == balance.Ready) {
+			was.at = e.At // a peer that drains and then ends was told to stop when it began to drain
+		}
+		if was.state = e.State; e.State == balance.Ready {
+			was.up = e.At
+		}
+		p.told[e.Node] = was
+	case Taken:
+		if j := c.jobs[key(e)]; j != nil && !j.over {
+			j.shared = true // whoever sent the id again has nothing to claim
+			break
+		}
+		j := &job{id: e.Request, node: e.Node, class: e.Class, taken: e.At, due: e.Until + c.c.AnswerGrace}
+		c.jobs[key(e)] = j
+		heap.Push(&c.due, j)
+	case Left:
+		if j := c.jobs[key(e)]; j != nil && !j.over {
+			j.over, j.left = true, e.At
+		}
+	case Answered:
+		c.answered(e)
+	case Dropped:
+		if j := c.jobs[key(e)]; j != nil && !j.over {
+			j.over = true
+			if e.First && len(j.tries) == 0 {
+				break // the client takes it for a connection that never came up
+			}
+			c.broken(1, e, "the node ended the connection without an answer")
+		}
+	case Sent:
+		c.sent(e)
+	case Arrived:
+		c.arrived(e)
+	case Made:
+		c.made[[2]string{e.Request, e.Result}] = true
+	case Ended, Off:
+		if t := c.tries[e.Try]; t != nil {
+			t.never = e.Kind == Ended && e.Never
+			c.end(e.Try)
+		}
+	case Killed:
+		for _, j := range c.due {
+			if j.node != e.Node || j.over {
+				continue
+			}
+			j.over = j.taken < e.Until // an answer of the others may yet be on its way
+		}
+		for n := range c.tries {
+			if c.owner[n].node == e.Node {
+				c.end(n)
+			}
+		}
+		for _, p := range c.peers {
+			delete(p.told, e.Node)
+		}
+	}
+	return c.found
+}
+
+// Until lets time pass to the given moment, and returns which answers have become overdue.
+func (c *Checker) Until(at time.Duration) []Violation {
+	c.last = max(c.last, at)
+	for len(c.due) > 0 && (c.due[0].over || c.due[0].due < at) {
+		j := heap.Pop(&c.due).(*job)
+		if !j.over {
+			j.over = true
+			c.broken(1, Event{At: at, Node: j.node, Request: j.id}, fmt.Sprintf("no answer by %v", j.due))
+		}
+	}
+	return c.found
+}
+
+// Open is the number of requests that are owed an answer.
+func (c *Checker) Open() (n int) {
+	for _, j := range c.jobs {
+		if !j.over {
+			n++
+		}
+	}
+	return n
+}
+
+// Out is how many tries a node has out at a peer.
+func (c *Checker) Out(node, peer string) int { return c.out[[2]string{node, peer}] }
+
+// end takes a try off those that are out.
+func (c *Checker) end(n int) {
+	t := c.tries[n]
+	t.out = false
+	c.out[[2]string{c.owner[n].node, t.peer}]--
+	delete(c.tries, n)
+	delete(c.owner, n)
+}
+
+// Owed reports whether a request of this id is owed an answer by a node.
+func (c *Checker) Owed(node, id string) bool {
+	j := c.jobs[[2]string{node, id}]
+	return j != nil && !j.over
+}
+
+func key(e Event) [2]string { return [2]string{e.Node, e.Request} }
+
+func (c *Checker) peer(id string) *peer {
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{id: id, told: map[string]told{}}
+		c.peers[id] = p
+	}
+	return p
+}
+
+func (c *Checker) broken(rule int, e Event, text string) {
+	v := Violation{Rule: rule, At: e.At, Node: e.Node, Request: e.Request, Text: text}
+	if j := c.jobs[key(e)]; j != nil {
+		for _, t := range j.tries {
+			v.Peers = append(v.Peers, t.peer)
+		}
+	}
+	if e.Peer != "" {
+		v.Peers = append(v.Peers, e.Peer)
+	}
+	c.found = append(c.found, v)
+}
+
+func (c *Checker) answered(e Event) {
+	j := c.jobs[key(e)]
+	if j == nil || j.over && j.answers == 0 {
+		return // nothing was owed: never taken whole, left, or found missing before
+	}
+	if j.answers++; j.answers > 1 {
+		c.broken(1, e, "answered twice")
+		return
+	}
+	j.over = true
+	switch e.Verdict {
+	case Served:
+		if !c.made[[2]string{e.Request, e.Result}] {
+			c.broken(1, e, "served with what no peer made for it")
+		}
+	case Refused:
+		cl := &c.c.Classes[j.class]
+		if cl.Effect == balance.Safe || cl.Effect == balance.Keyed && cl.Scope == balance.AllWorkers {
+			return
+		}
+		for _, t := range j.tries {
+			if t.out || !t.never {
+				c.broken(2, e, "refused, which invites a repeat, though a try may have run")
+				return
+			}
+		}
+	}
+}
+
+// sent checks a new try against the second and third rule.
+func (c *Checker) sent(e Event) {
+	p, j := c.peer(e.Peer), c.jobs[key(e)]
+	t := &try{peer: e.Peer, zone: p.zone, cell: p.cell, sent: e.At, out: true}
+	if w := p.told[e.Node]; w.state != balance.Ready && e.At > w.at+c.c.DrainGrace {
+		c.broken(3, e, fmt.Sprintf("sent to a peer that was told to be %s since %v", stateName(w.state), w.at))
+	}
+	if j == nil {
+		c.broken(2, e, "sent for a request that no client has brought")
+		return
+	}
+	if j.over && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
+		c.broken(1, e, "sent after the end of its request")
+	}
+	cl := &c.c.Classes[j.class]
+	for _, o := range j.tries {
+		if j.shared {
+			break
+		}
+		if o.never && !o.out {
+			continue
+		}
+		switch {
+		case o.out && !c.c.SecondCopies:
+			c.broken(2, e, "a second copy, which is not allowed here")
+		case cl.Effect == balance.Unsafe:
+			c.broken(2, e, "sent again though an earlier try may have run")
+		case cl.Effect == balance.Keyed && (cl.Scope == balance.SameZone && o.zone != t.zone || cl.Scope == balance.SameCell && o.cell != t.cell):
+			c.broken(2, e, "sent again outside the group that drops repeats")
+		case cl.Effect == balance.Keyed && e.At > o.sent+cl.Window+c.c.WindowSlack:
+			c.broken(2, e, fmt.Sprintf("sent again %v after a try that may have run", e.At-o.sent))
+		}
+	}
+	j.tries = append(j.tries, t)
+	c.tries[e.Try], c.owner[e.Try] = t, j
+	c.out[[2]string{e.Node, e.Peer}]++
+	if !j.shared && c.c.MaxAttempts > 0 && len(j.tries) > c.c.MaxAttempts {
+		c.broken(2, e, fmt.Sprintf("try %d of %d", len(j.tries), c.c.MaxAttempts))
+	}
+}
+
+func stateName(s balance.State) string {
+	return map[balance.State]string{balance.Gone: "gone", balance.Ready: "ready", balance.Draining: "draining"}[s]
+}
+
+// warmth is the share of its capacity that a peer has at a time.
+func (c *Checker) warmth(p *peer, at time.Duration) float64 {
+	if !p.cold || c.c.ColdFor <= 0 {
+		return 1
+	}
+	return c.c.ColdFrom + (1-c.c.ColdFrom)*min(1, (at-p.started).Seconds()/c.c.ColdFor.Seconds())
+}
+
+// arrived checks the fourth rule. The budget of a window is the stated multiple of the present capacity, and one job
+// more: the rule leaves a little room for chance.
+func (c *Checker) arrived(e Event) {
+	p := c.peer(e.Peer)
+	warm := c.warmth(p, e.At)
+	if !p.up || warm >= 1 || c.c.FallAfter <= 0 || c.c.FallMultiple <= 0 {
+		return
+	}
+	p.loads = append(p.loads, load{e.At, e.Work, e.Node})
+	for len(p.loads) > 0 && p.loads[0].at < e.At-c.c.FallAfter {
+		p.loads = p.loads[1:]
+	}
+	sum, knowing, largest := 0.0, 0.0, 0.0
+	for _, l := range p.loads {
+		sum, largest = sum+l.work, max(largest, l.work)
+		w, heard := p.told[l.node]
+		if heard && w.up >= p.started || c.c.ToldAfter > 0 && l.at >= p.started+c.c.ToldAfter {
+			knowing += l.work
+		}
+	}
+	budget := c.c.FallMultiple*warm*p.capacity*c.c.FallAfter.Seconds() + largest
+	if sum > budget && knowing >= sum*2/3 {
+		c.broken(4, e, fmt.Sprintf("a cold peer at %.0f%% got %.2f s of work in %v, %.2f is its budget", warm*100, sum, c.c.FallAfter, budget))
+	}
+}
+
+// dueHeap orders jobs by when they must be answered.
+type dueHeap []*job
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)        { *h = append(*h, x.(*job)) }
+func (h *dueHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/sim/faults.go
@@ -0,0 +1,222 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"swiftdeal/internal/standin"
+)
+
+// on is what a fault strikes.
+type on int
+
+const (
+	onAll on = iota
+	onPeer
+	onNode
+)
+
+// faultKind is a kind of fault: what it does when it begins, and when it ends.
+type faultKind struct {
+	on    on
+	means string // of the amount, and what it is
+	begin func(w *World, f *Fault)
+	end   func(w *World, f *Fault)
+}
+
+// ail makes a fault of a peer's trouble that passes.
+func ail(means string, set func(t *standin.Trouble, amount float64)) faultKind {
+	return faultKind{on: onPeer, means: means,
+		begin: func(w *World, f *Fault) { w.peer(f).peer.Change(func(t *standin.Trouble) { set(t, f.Amount) }) },
+		end:   func(w *World, f *Fault) { w.peer(f).peer.Change(func(t *standin.Trouble) { set(t, 0) }) },
+	}
+}
+
+func (w *World) peer(f *Fault) *machineState { return w.order[f.Target] }
+
+var faults map[string]faultKind
+
+func init() {
+	faults = map[string]faultKind{
+		"slow":         ail("the peer is up to 10 times slower", func(t *standin.Trouble, a float64) { t.Slow = 1 + 9*a }),
+		"fail":         ail("the share of jobs that fail at once", func(t *standin.Trouble, a float64) { t.Fail = a }),
+		"neighbour":    ail("the share of the machine that another program takes", func(t *standin.Trouble, a float64) { t.Steal = 0.8 * a }),
+		"report-late":  ail("reports come up to 5 s late", func(t *standin.Trouble, a float64) { t.Late = ms(5000 * a) }),
+		"report-stuck": ail("reports are not renewed", func(t *standin.Trouble, a float64) { t.Freeze = a > 0 }),
+		"report-lies":  ail("reports say that all is free", func(t *standin.Trouble, a float64) { t.Lie = a > 0 }),
+		"reset":        ail("the share of jobs whose connection breaks as they end", func(t *standin.Trouble, a float64) { t.Reset = a }),
+		"garble":       ail("the share of answers that are to no request", func(t *standin.Trouble, a float64) { t.Garble = a }),
+		"pieces":       ail("answers come in pieces", func(t *standin.Trouble, a float64) { t.Pieces = a > 0 }),
+		"forget":       ail("idle connections are closed at once", func(t *standin.Trouble, a float64) { t.ForgetConn = a > 0 }),
+		"no-connect": {on: onPeer, means: "connections to the peer do not come up",
+			begin: func(w *World, f *Fault) { w.peer(f).mute = true },
+			end:   func(w *World, f *Fault) { w.peer(f).mute = false }},
+		"die": {on: onPeer, means: "the peer dies, and starts cold after a while; discovery tells late",
+			begin: func(w *World, f *Fault) {
+				w.stopPeer(w.peer(f))
+				w.publish(w.peer(f), "terminated")
+			},
+			end: (*World).restartPeer},
+		"restart": {on: onPeer, means: "the peer's process is replaced by a cold one at once, and the list tells late",
+			begin: func(w *World, f *Fault) { w.stopPeer(w.peer(f)) },
+			end:   (*World).restartPeer},
+		"vanish": {on: onPeer, means: "the machine says nothing for a while",
+			begin: func(w *World, f *Fault) { w.cut(w.peer(f), true) },
+			end:   func(w *World, f *Fault) { w.cut(w.peer(f), false) }},
+		"drain": {on: onPeer, means: "the peer drains, ends, and starts cold",
+			begin: func(w *World, f *Fault) { w.drainPeer(w.peer(f)) },
+			end: func(w *World, f *Fault) {
+				m := w.peer(f)
+				if w.stopPeer(m); m.entry.State == "terminating" {
+					w.publish(m, "terminated")
+					w.After(ms(300+2000*f.Amount), func() { w.restartPeer(f) })
+				}
+			}},
+		"drain-die": {on: onPeer, means: "the peer's drain is told and it dies at the same instant",
+			begin: func(w *World, f *Fault) {
+				m := w.peer(f)
+				w.drainPeer(m)
+				w.After(w.disco.Late+ms(f.Amount-0.5), func() { w.stopPeer(m) })
+			},
+			end: (*World).restartPeer},
+		"list-down": {on: onAll, means: "discovery is down",
+			begin: func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Down(true) }) },
+			end:   func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Down(false) }) }},
+		"list-stale": {on: onAll, means: "discovery answers with an old list",
+			begin: func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Stale(true) }) },
+			end:   func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Stale(false) }) }},
+		"list-silent": {on: onAll, means: "watches fall silent for good",
+			begin: func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Silent() }) }},
+		"list-slow": {on: onAll, means: "discovery answers up to 4 s late",
+			begin: func(w *World, fault *Fault) {
+				w.fronts(func(f *standin.Front) { f.Delay = ms(4000 * fault.Amount) })
+			},
+			end: func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Delay = 0 }) }},
+		"move": {on: onAll, means: "discovery moves: SIGHUP with its new address, the old one ends 1.5 s later",
+			begin: func(w *World, _ *Fault) { w.move() }},
+		"reload": {on: onNode, means: "SIGHUP with an unchanged file",
+			begin: func(w *World, f *Fault) { w.reload(w.nodes[f.Target], w.nodes[f.Target].disco) }},
+		"term": {on: onNode, means: "SIGTERM; the node starts again after a while",
+			begin: func(w *World, f *Fault) {
+				n := w.nodes[f.Target]
+				w.term(n, func() { w.After(ms(f.For), func() { w.again(f.Target) }) })
+			}},
+		"kill": {on: onNode, means: "the node is killed, and starts again after a while",
+			begin: func(w *World, f *Fault) { w.kill(w.nodes[f.Target], forever) },
+			end:   func(w *World, f *Fault) { w.again(f.Target) }},
+	}
+}
+
+// faultNames lists the kinds of fault.
+func faultNames() (names []string) {
+	for k := range faults {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Help words what each kind of fault does.
+func Help() (lines []string) {
+	for _, k := range faultNames() {
+		lines = append(lines, k+": "+faults[k].means)
+	}
+	return lines
+}
+
+// strike plans a fault.
+func (w *World) strike(f *Fault) {
+	k := faults[f.Kind]
+	w.at(ms(f.At), func() {
+		w.trace("fault %s on %d begins (%g for %g ms)", f.Kind, f.Target, f.Amount, f.For)
+		k.begin(w, f)
+	})
+	if k.end != nil {
+		w.at(ms(f.At+f.For), func() {
+			w.trace("fault %s on %d ends", f.Kind, f.Target)
+			k.end(w, f)
+		})
+	}
+}
+
+// publish changes a peer's entry in discovery's list.
+func (w *World) publish(m *machineState, state string) {
+	m.entry.State = state
+	w.disco.Set(m.entry)
+}
+
+func (w *World) drainPeer(m *machineState) {
+	if m.peer.Up() && m.entry.State == "in_service" {
+		m.peer.Drain()
+		w.publish(m, "terminating")
+	}
+}
+
+// restartPeer starts a peer again, cold, and has the list tell.
+func (w *World) restartPeer(f *Fault) {
+	m := w.peer(f)
+	if m.peer.Up() {
+		return
+	}
+	w.startPeer(m, true)
+	m.entry.Started = time.Now().UnixMilli()
+	w.publish(m, "in_service")
+}
+
+// fronts does something at every address of discovery that is in service.
+func (w *World) fronts(do func(*standin.Front)) {
+	for _, m := range w.machines() {
+		if m.front != nil && !m.gone {
+			do(m.front)
+		}
+	}
+}
+
+// move moves discovery to a new address.
+func (w *World) move() {
+	var old []*machineState
+	for _, m := range w.machines() {
+		if m.front != nil && !m.gone {
+			old = append(old, m)
+		}
+	}
+	m := w.newFront()
+	for i, n := range w.nodes {
+		w.nodes[i].disco = m.addr
+		w.reload(n, m.addr)
+	}
+	w.After(1500*time.Millisecond, func() {
+		for _, o := range old {
+			o.gone = true
+			o.front.Down(true)
+		}
+	})
+}
+
+// reload sends a node SIGHUP: never within its first second, nor before it is ready.
+func (w *World) reload(n *simNode, disco string) {
+	if !n.up || n.dead {
+		return
+	}
+	if !n.ready && n.termed == 0 || w.now() < n.began+time.Second {
+		w.After(200*time.Millisecond, func() { w.reload(n, disco) })
+		return
+	}
+	to := *n.conf
+	to.Discovery = disco
+	w.trace("%s SIGHUP, discovery at %s", n.name, disco)
+	reloads := n.reloads
+	go func() {
+		select {
+		case reloads <- &to:
+		case <-n.over:
+		}
+	}()
+}
+
+// again starts a node again.
+func (w *World) again(i int) {
+	if n := w.nodes[i]; !n.up {
+		w.startNode(n)
+	}
+}
--- /dev/null
+++ b/internal/sim/run.go
@@ -0,0 +1,280 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/rules"
+	"swiftdeal/internal/standin"
+)
+
+// Outcome is what came of a simulation.
+type Outcome struct {
+	Hash                    uint64 // of the trace
+	Lines, Steps            int
+	Virtual                 time.Duration
+	Served, Refused, Failed int // answers
+	Violations              []rules.Violation
+
+	Fault   string // what broke first, "" if nothing
+	Text    string
+	At      time.Duration
+	Node    string
+	Request string
+	Peers   []string
+	Last    []string // the last lines of the trace
+}
+
+// String words a failure.
+func (o *Outcome) String() string {
+	if o.Fault == "" {
+		return fmt.Sprintf("%d served, %d refused, %d failed in %v, trace %016x", o.Served, o.Refused, o.Failed, o.Virtual, o.Hash)
+	}
+	return fmt.Sprintf("%s at %v: %s (node %s, request %s, peers %v)", o.Fault, o.At, o.Text, o.Node, o.Request, o.Peers)
+}
+
+// Options of a run.
+type Options struct {
+	Trace io.Writer // where the whole trace goes; nil for nowhere
+	Nodes io.Writer // where the nodes' own log goes
+	Keep  int       // lines of the trace that an outcome holds
+}
+
+// Run plays a plan in a bubble of its own. A panic of the node's code is an outcome too, but for one in a goroutine
+// of its own, which ends the process as it would end the node.
+func Run(t *testing.T, p *Plan, opt Options) (out *Outcome) {
+	out = &Outcome{}
+	defer func() {
+		if e := recover(); e != nil && out.Fault == "" {
+			out.Fault, out.Text = "leak", fmt.Sprint(e)
+		}
+	}()
+	synctest.Test(t, func(*testing.T) {
+		w := build(p, out, opt)
+		w.play()
+		out.Hash, out.Lines, out.Steps, out.Virtual = w.log.hash.Sum64(), w.log.lines, w.steps, w.now()
+		out.Last = append([]string(nil), w.log.last[max(0, len(w.log.last)-w.log.keep):]...)
+	})
+	return out
+}
+
+// build sets the stage.
+func build(p *Plan, out *Outcome, opt Options) *World {
+	w := &World{
+		plan: p, start: time.Now(), out: out, wake: make(chan struct{}, 1), rnd: standin.Random(p.Seed, "world"),
+		byAddr: map[string]*machineState{}, classes: map[string]int{},
+		log: recorder{hash: xxhash.New(), keep: max(opt.Keep, 1), all: opt.Trace, nodes: opt.Nodes},
+	}
+	w.disco = &standin.Discovery{Clock: w}
+	classes := map[string]standin.Class{}
+	for i, c := range classPlans {
+		w.classes[c.name] = i
+		classes[c.name] = standin.Class{Keyed: c.effect == "dedup", Scope: c.scope, Window: ms(c.window * p.Scale)}
+	}
+	w.fleet = standin.NewFleet(w, w, classes)
+	for i, r := range p.Peers {
+		m := &machineState{name: fmt.Sprintf("p%d", i), zone: zone(r.Zone), addr: fmt.Sprintf("10.1.0.%d:8080", i+1), links: map[*link]bool{}}
+		m.peer = &standin.Peer{
+			Fleet: w.fleet, ID: m.name, Zone: m.zone, Cell: fmt.Sprint(r.Cell), Kind: "std", Cores: r.Cores, Slots: r.Slots,
+			Memory: r.Slots, Speed: r.Speed, Queue: r.Queue, Refresh: ms(r.Refresh), ColdFrom: 0.13, ColdFor: w.coldFor(),
+			Idle: ms(connIdle), MostConns: 500, Returns: r.Returns, TellsQueue: p.Queue,
+		}
+		if p.Tells {
+			m.peer.Progress = ms(progress)
+		}
+		m.open = m.peer.Open
+		m.entry = standin.Entry{ID: m.name, Addr: m.addr, Zone: m.zone, Kind: "std", Cell: r.Cell, State: "in_service", Weight: 1}
+		m.peer.Seed(p.Seed)
+		w.order, w.byAddr[m.addr] = append(w.order, m), m
+	}
+	front := w.newFront()
+	for i := range p.Nodes {
+		n := &simNode{w: w, index: i, name: fmt.Sprintf("n%d", i), zone: zone(i % 2), listen: fmt.Sprintf("10.0.0.%d:8080", i+1), disco: front.addr}
+		w.nodes = append(w.nodes, n)
+		w.settings = append(w.settings, w.config(n))
+	}
+	w.checker = rules.New(w.rules())
+	w.clients = standin.NewClients(w, w, w, p.Seed)
+	return w
+}
+
+func zone(i int) string { return []string{"jakarta", "surabaya"}[i] }
+
+// Milliseconds that hold for every plan.
+const (
+	connIdle = 4000
+	progress = 250
+	dialWait = 250
+	stopWait = 500
+)
+
+func (w *World) coldFor() time.Duration { return ms(24000 * w.plan.Scale) }
+
+// newFront opens a further address of discovery.
+func (w *World) newFront() *machineState {
+	n := 0
+	for _, m := range w.order {
+		if m.front != nil {
+			n++
+		}
+	}
+	m := &machineState{name: fmt.Sprintf("d%d", n), zone: zone(0), addr: fmt.Sprintf("10.2.0.%d:8500", n+1), links: map[*link]bool{}, front: w.disco.Front()}
+	m.open = m.front.Open
+	w.order, w.byAddr[m.addr] = append(w.order, m), m
+	return m
+}
+
+// machines lists the stand-ins' machines in their order.
+func (w *World) machines() []*machineState { return w.order }
+
+// config words the configuration of a node as an operator would, and reads it as the product does.
+func (w *World) config(n *simNode) config.Config {
+	p := w.plan
+	type profile map[string]any
+	var profiles []profile
+	for _, c := range classPlans {
+		profiles = append(profiles, profile{
+			"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim * p.Scale, "deadlineMs": c.deadline * p.Scale,
+			"repeatWindowMs": c.window * p.Scale, "aimStretch": c.stretch, "worth": c.worth,
+		})
+	}
+	fields := []string{"tps", "concurrent", "x0", "x1"}
+	if p.Queue {
+		fields = append(fields, "depth")
+	}
+	progressMs := 0.0
+	if p.Tells {
+		progressMs = progress
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": n.name, "listen": n.listen, "discovery": n.disco, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": p.MemoryMB, "sockets": p.Sockets},
+		"settings": map[string]any{
+			"az": n.zone, "balancers": p.Nodes, "me": n.index, "discovery": "on_request", "stepMs": 1,
+			"familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": p.Tells, "progressMs": progressMs, "queueOrder": "fifo"},
+			"limits": map[string]any{"cancelling": true, "probing": true, "parallelTries": p.Copies, "retryAfter": true, "maxRetryAfterMs": 2000,
+				"connIdleMs": connIdle, "dialTimeoutMs": dialWait, "maxAttempts": maxAttempts},
+			"loadReport":  map[string]any{"fields": fields, "how": "pull"},
+			"obligations": map[string]any{"coldFrom": 0.13, "coldMs": ms2(w.coldFor()), "fallMultiple": 3, "overloadForMs": 3000 * p.Scale},
+			"prices":      map[string]any{"crossZone": 0.029, "waste": 0.04, "lateFail": 0.08, "probe": 0.002},
+			"profiles":    profiles,
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	c, err := config.Load(func(k string) string { return map[string]string{"GW_CONFIG": "file"}[k] }, func(string) ([]byte, error) { return text, nil })
+	if err != nil {
+		panic(err)
+	}
+	return *c
+}
+
+const maxAttempts = 4
+
+func ms2(d time.Duration) float64 { return float64(d) / 1e6 }
+
+func (w *World) rules() rules.Config {
+	return rules.Config{
+		Classes: w.settings[0].Settings.Balance.Classes, AnswerGrace: slack, DrainGrace: ms(stopWait) + slack, WindowSlack: slack,
+		MaxAttempts: maxAttempts, SecondCopies: w.plan.Copies, ColdFrom: 0.13, ColdFor: w.coldFor(), FallMultiple: 3,
+		FallAfter: ms(3000 * w.plan.Scale), ToldAfter: 6 * time.Second,
+	}
+}
+
+// play runs the plan from its start to the end of all its nodes.
+func (w *World) play() {
+	p := w.plan
+	for i, r := range p.Peers {
+		m := w.order[i]
+		w.startPeer(m, r.Cold)
+		if r.Cold {
+			m.entry.Started = time.Now().UnixMilli()
+		}
+		w.publish(m, "in_service")
+	}
+	w.run(w.now()+time.Millisecond, nil) // the list holds them all
+	w.disco.Late = ms(p.Late)
+	for i := range w.nodes {
+		w.startNode(w.nodes[i])
+	}
+	for i := range p.Faults {
+		w.strike(&p.Faults[i])
+	}
+	last := 0.0
+	for i := range p.Jobs {
+		j := &p.Jobs[i]
+		c := p.class(j.Class)
+		name := fmt.Sprintf("r%d", i)
+		job := &standin.Job{
+			Name: name, Class: j.Class, Repeat: c.effect == "retryable" || c.scope == "all", Refused: true, Work: j.Work / 1000,
+			Hint: ms(j.Hint), Slots: j.Slots, Memory: j.Memory, Patient: ms(c.deadline * p.Scale), GiveUp: ms(j.GiveUp),
+			Body: j.Body, Shape: j.Shape, Retries: j.Tries, Pause: ms(j.Pause), ID: j.ID,
+		}
+		if c.effect == "dedup" {
+			if job.Key = j.Key; job.Key == "" {
+				job.Key = "k" + name
+			}
+		}
+		last = max(last, j.At+c.deadline*p.Scale)
+		w.at(ms(j.At), func() { w.clients.Ask(job) })
+	}
+	for _, f := range p.Faults {
+		last = max(last, f.At+f.For)
+	}
+	w.run(ms(last+10500), nil)
+	if n := w.checker.Open(); n > 0 && w.out.Fault == "" {
+		w.fault("rule 1", fmt.Sprintf("%d requests have no answer at the end", n), "", "")
+	}
+	w.finish()
+}
+
+// finish ends all nodes and looks at what they leave behind.
+func (w *World) finish() {
+	if w.out.Fault == "" {
+		for _, n := range w.nodes {
+			w.term(n, nil)
+		}
+		w.run(w.now()+8*time.Second, func() bool {
+			return !slices.ContainsFunc(w.nodes, func(n *simNode) bool { return n.up })
+		})
+	}
+	for key, n := range w.effects() {
+		if n > 1 && w.out.Fault == "" {
+			w.fault("effects", fmt.Sprintf("the work behind key %s was done %d times", key, n), "", "")
+		}
+	}
+	for _, n := range w.nodes { // after a fault they are left as they stand
+		if n.up {
+			w.gone(n, forever)
+		}
+	}
+	for range 3 { // what has been killed is on its way out; a drain may be sleeping yet
+		for synctest.Wait(); w.deal() || w.pass(); synctest.Wait() {
+		}
+		time.Sleep(time.Minute)
+	}
+}
+
+// effects counts by key how often work was done that its class lets be done once.
+func (w *World) effects() map[string]int {
+	n := map[string]int{}
+	for i := range w.plan.Jobs {
+		j := &w.plan.Jobs[i]
+		key := j.Key
+		if key == "" {
+			key = fmt.Sprintf("kr%d", i)
+		}
+		key = j.Class + "/" + key
+		n[key] = w.fleet.Effects(key)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,871 @@
+// Package sim runs real nodes, all of their network code unchanged, on a virtual clock and a virtual network against
+// stand-ins with scripted faults, and checks the four rules and some invariants after every step. It lives in a
+// bubble of testing/synctest: time stands still while any goroutine can run. One thing happens at a time: the
+// scheduler lets one network event take place, waits until every goroutine has come to rest, and goes on. What
+// happens at one instant is put in an order drawn from the seed, so that a seed always gives the same trace.
+package sim
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
+	"swiftdeal/internal/node"
+	"swiftdeal/internal/rules"
+	"swiftdeal/internal/standin"
+)
+
+// slack is what a rule's time limit is longer by on a network.
+const slack = 50 * time.Millisecond
+
+// World is one simulation.
+type World struct {
+	plan  *Plan
+	start time.Time
+	rnd   *rand.Rand // of ties and small chances; things have sources of their own
+
+	mu      sync.Mutex
+	deeds   []deed
+	dials   int
+	waiting []*simNode // whose mailbox holds events
+	wake    chan struct{}
+
+	events    eventHeap
+	seq       int
+	links     int
+	tries     int
+	endpoints int // open ends of nodes
+	dialings  []*dialing
+
+	nodes    []*simNode
+	peers    map[string]*machineState
+	byAddr   map[string]*machineState
+	order    []*machineState
+	fleet    *standin.Fleet
+	disco    *standin.Discovery
+	clients  *standin.Clients
+	checker  *rules.Checker
+	arriving *link
+	classes  map[string]int
+	settings []config.Config
+
+	log   recorder
+	out   *Outcome
+	steps int
+}
+
+// machineState is a stand-in's machine.
+type machineState struct {
+	name  string
+	zone  string
+	addr  string
+	cut   bool // says nothing, hears nothing
+	mute  bool // takes no new connection, without a word
+	links map[*link]bool
+	open  func(standin.Conn) standin.Handler
+	peer  *standin.Peer
+	front *standin.Front
+	entry standin.Entry
+	gone  bool
+}
+
+// simNode is a node and its machine.
+type simNode struct {
+	w       *World
+	index   int
+	name    string
+	zone    string
+	listen  string
+	ln      *listener
+	stop    context.CancelFunc
+	ended   chan error
+	reloads chan *config.Config
+	turn    chan struct{}
+	charges func(peer string) int
+	up      bool // its process runs
+	dead    bool // killed; its goroutines may be on their way out
+	ready   bool // the front sends clients here
+	termed  time.Duration
+	links   map[*link]bool
+	life    int
+	conf    *config.Config
+	disco   string
+	held    int // endpoints open
+	began   time.Duration
+	over    chan struct{} // closed when the process is gone
+}
+
+// event is something that is to happen.
+type event struct {
+	at   time.Duration
+	tie  uint64
+	seq  int
+	run  func()
+	dead bool
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].tie, h[j].tie), cmp.Compare(h[i].seq, h[j].seq)) < 0
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+func (w *World) now() time.Duration { return time.Since(w.start) }
+
+// at plans something.
+func (w *World) at(t time.Duration, run func()) *event {
+	w.seq++
+	e := &event{at: max(t, w.now()), tie: w.rnd.Uint64(), seq: w.seq, run: run}
+	heap.Push(&w.events, e)
+	return e
+}
+
+// Now implements standin.Clock.
+func (w *World) Now() time.Time { return time.Now() }
+
+// After implements standin.Clock.
+func (w *World) After(d time.Duration, f func()) func() {
+	e := w.at(w.now()+max(d, 0), f)
+	return func() { e.dead = true }
+}
+
+// did notes what a node's goroutine did on the network.
+func (w *World) did(d deed) {
+	w.mu.Lock()
+	if d.dial != nil {
+		d.dial.n = w.dials
+		w.dials++
+	}
+	w.deeds = append(w.deeds, d)
+	w.mu.Unlock()
+	w.signal()
+}
+
+func (w *World) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// simOrder puts a node's events of one instant in an order drawn from the seed.
+type simOrder struct{ n *simNode }
+
+// Settle implements machine.Order.
+func (o simOrder) Settle() {
+	n := o.n
+	n.w.mu.Lock()
+	if n.dead {
+		n.w.mu.Unlock()
+		return
+	}
+	n.w.waiting = append(n.w.waiting, n)
+	n.w.mu.Unlock()
+	n.w.signal()
+	<-n.turn
+}
+
+// Before implements machine.Order.
+func (o simOrder) Before(a, b machine.Source) bool {
+	x, y := o.rank(a), o.rank(b)
+	if x != y {
+		return x < y
+	}
+	return a.Kind < b.Kind || a.Kind == b.Kind && (a.ID < b.ID || a.ID == b.ID && a.N < b.N)
+}
+
+func (o simOrder) rank(s machine.Source) uint64 {
+	b := make([]byte, 0, 64)
+	b = binary.LittleEndian.AppendUint64(b, o.n.w.plan.Seed)
+	b = binary.LittleEndian.AppendUint64(b, uint64(o.n.w.now()))
+	b = append(append(b, s.Kind, byte(s.N)), s.ID...)
+	return xxhash.Sum64(b)
+}
+
+// Owner implements machine.Order.
+func (o simOrder) Owner(charges func(peer string) int) { o.n.charges = charges }
+
+// deal lets the deeds of nodes take effect, in an order of their own, and reports whether there were any.
+func (w *World) deal() bool {
+	w.mu.Lock()
+	deeds := w.deeds
+	w.deeds = nil
+	w.mu.Unlock()
+	if len(deeds) == 0 {
+		return false
+	}
+	slices.SortStableFunc(deeds, func(a, b deed) int {
+		if c := cmp.Compare(a.kind, b.kind); c != 0 {
+			return c
+		}
+		if a.kind == didDial {
+			x, y := a.dial, b.dial
+			return cmp.Or(cmp.Compare(x.node.index, y.node.index), cmp.Compare(x.addr, y.addr), cmp.Compare(x.why, y.why), cmp.Compare(x.n, y.n))
+		}
+		return cmp.Or(cmp.Compare(a.l.id, b.l.id), cmp.Compare(a.n, b.n))
+	})
+	// Bytes that were written before their connection was closed go before the close.
+	writes := map[*link][]deed{}
+	for _, d := range deeds {
+		if d.kind == didWrite {
+			writes[d.l] = append(writes[d.l], d)
+		}
+	}
+	for _, d := range deeds {
+		switch d.kind {
+		case didClose, didCloseWrite:
+			for _, wd := range writes[d.l] {
+				d.l.wrote(wd.data)
+			}
+			delete(writes, d.l)
+			d.l.ended(d.kind == didCloseWrite)
+		case didWrite:
+			for _, wd := range writes[d.l] {
+				d.l.wrote(wd.data)
+			}
+			delete(writes, d.l)
+		case didDial:
+			w.dialed(d.dial)
+		}
+	}
+	return true
+}
+
+// dialed sends a node's dialing on its way.
+func (w *World) dialed(d *dialing) {
+	n := d.node
+	if n.dead {
+		d.give(dialed{err: syscall.ECONNABORTED})
+		return
+	}
+	w.dialings = append(w.dialings, d)
+	m := w.byAddr[d.addr]
+	l := &link{w: w, node: n, machine: m, why: d.why}
+	w.links++
+	l.id = w.links
+	there := w.now() + w.latency(l)
+	w.at(there, func() {
+		if m == nil || m.gone {
+			w.at(w.now()+w.latency(l), func() { d.give(dialed{err: syscall.ECONNREFUSED}) })
+			return
+		}
+		if m.cut || m.mute || n.dead {
+			return
+		}
+		l.toPeer = m.peer != nil
+		l.label = fmt.Sprintf("c%d %s-%s", l.id, n.name, m.name)
+		l.ep = newEndpoint(l, fmt.Sprintf("%s:%d", n.name, 10000+l.id), d.addr)
+		l.inAt = w.now()
+		far := far{l}
+		if l.far = m.open(far); l.far == nil {
+			w.trace("%s refused", l.label)
+			w.at(w.now()+w.latency(l), func() { d.give(dialed{err: syscall.ECONNREFUSED}) })
+			return
+		}
+		m.links[l] = true
+		w.at(l.inTime(0), func() {
+			if l.broken || m.cut || n.dead {
+				return
+			}
+			w.trace("%s up for %s", l.label, d.why)
+			w.endpoints++
+			n.held++
+			n.links[l] = true
+			if !d.give(dialed{e: l.ep}) { // the node has given up: what came up is closed
+				l.ep.Close()
+			}
+		})
+	})
+}
+
+// Dial implements standin.Reach: a client's connection to a node.
+func (w *World) Dial(to string, rate int, h standin.Opener) {
+	n := w.nodes[slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == to })]
+	l := &link{w: w, node: n, machine: &machineState{name: "client", zone: n.zone, links: map[*link]bool{}}, rate: rate}
+	w.links++
+	l.id = w.links
+	l.label = fmt.Sprintf("c%d client-%s", l.id, n.name)
+	l.far = h
+	l.ep = newEndpoint(l, n.listen, fmt.Sprintf("client:%d", 10000+l.id))
+	there := w.now() + w.latency(l)
+	l.inAt = there
+	w.at(there, func() {
+		ok := n.up && !n.dead && n.ln.offer(l.ep)
+		if ok {
+			w.endpoints++
+			n.held++
+			n.links[l] = true
+		}
+		w.at(w.now()+w.latency(l), func() {
+			if !ok {
+				w.trace("%s refused", l.label)
+				h.Gone(true)
+				return
+			}
+			h.Up(far{l})
+		})
+	})
+}
+
+// latency is how long a packet takes one way.
+func (w *World) latency(l *link) time.Duration {
+	net := &w.plan.Net
+	t := net.Near
+	if l.machine != nil && l.machine.zone != l.node.zone {
+		t = net.Far
+	}
+	return ms(t + net.Jitter*w.rnd.Float64())
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// run lets things happen until the given time or until nothing is left to happen.
+func (w *World) run(until time.Duration, done func() bool) {
+	for w.out.Fault == "" {
+		synctest.Wait()
+		select {
+		case <-w.wake:
+		default:
+		}
+		if w.deal() {
+			continue
+		}
+		if w.pass() {
+			continue
+		}
+		w.check()
+		if done != nil && done() {
+			return
+		}
+		for len(w.events) > 0 && w.events[0].dead {
+			heap.Pop(&w.events)
+		}
+		wait := until - w.now()
+		if len(w.events) > 0 {
+			wait = min(wait, w.events[0].at-w.now())
+		}
+		if wait > 0 {
+			timer := time.NewTimer(wait)
+			select {
+			case <-timer.C:
+			case <-w.wake:
+				timer.Stop()
+			}
+			continue
+		}
+		if w.now() >= until || len(w.events) == 0 {
+			return
+		}
+		e := heap.Pop(&w.events).(*event)
+		w.steps++
+		e.run()
+	}
+}
+
+// pass lets one node handle one event of its mailbox, and reports whether one waits to.
+func (w *World) pass() bool {
+	w.mu.Lock()
+	if len(w.waiting) == 0 {
+		w.mu.Unlock()
+		return false
+	}
+	i := 0
+	for j, n := range w.waiting {
+		if n.index < w.waiting[i].index {
+			i = j
+		}
+	}
+	n := w.waiting[i]
+	w.waiting = slices.Delete(w.waiting, i, i+1)
+	w.mu.Unlock()
+	n.turn <- struct{}{}
+	return true
+}
+
+// check looks at the invariants once everything has come to rest.
+func (w *World) check() {
+	w.broke(w.checker.Until(w.now()))
+	for _, n := range w.nodes {
+		if !n.up || n.dead || n.charges == nil {
+			continue
+		}
+		if most := n.conf.Limits.ClientConns + n.conf.Limits.SpareConns + n.conf.Limits.PeerConns + 8; n.held > most {
+			w.fault("descriptors", fmt.Sprintf("%s holds %d connections, %d are its budget", n.name, n.held, most), n.name, "")
+		}
+		for _, m := range w.order {
+			if m.peer == nil {
+				continue
+			}
+			out := w.checker.Out(n.name, m.name)
+			for _, d := range w.dialings {
+				if d.node == n && d.addr == m.addr && d.why != "probe" && !d.over() {
+					out++
+				}
+			}
+			if c := n.charges(m.name); c != out {
+				w.fault("charges", fmt.Sprintf("%s charges %s with %d tries, %d are out", n.name, m.name, c, out), n.name, "")
+				return
+			}
+		}
+	}
+	w.dialings = slices.DeleteFunc(w.dialings, (*dialing).over)
+}
+
+func (d *dialing) over() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.given
+}
+
+// tell hands an event to the checker.
+func (w *World) tell(e rules.Event) {
+	e.At = w.now()
+	w.broke(w.checker.Step(e))
+}
+
+func (w *World) broke(v []rules.Violation) {
+	for _, v := range v {
+		w.out.Violations = append(w.out.Violations, v)
+		w.fault(fmt.Sprintf("rule %d", v.Rule), v.Text, v.Node, v.Request, v.Peers...)
+	}
+}
+
+// fault ends the simulation with what went wrong first.
+func (w *World) fault(what, text, node, request string, peers ...string) {
+	w.trace("FAULT %s: %s (node %s, request %s, peers %v)", what, text, node, request, peers)
+	if w.out.Fault == "" {
+		w.out.Fault, w.out.Text, w.out.At = what, text, w.now()
+		w.out.Node, w.out.Request, w.out.Peers = node, request, peers
+	}
+}
+
+// departs notes a request that leaves a node for a peer.
+func (w *World) departs(l *link, p []byte) {
+	if l.use == nil || standin.Whole(l.use.text) {
+		if l.use != nil && !l.use.probe {
+			w.endFlight(l, false)
+		}
+		w.tries++
+		l.use = &flight{try: w.tries, id: standin.Field(p, "X-Request-Id")}
+		if method, _, _ := standin.Words(p); method == "GET" {
+			l.use.probe = true
+		} else {
+			w.tell(rules.Event{Kind: rules.Sent, Node: l.node.name, Request: l.use.id, Peer: l.machine.name, Try: l.use.try})
+		}
+	}
+	l.use.text = append(l.use.text, p...)
+}
+
+// arrives notes which connection a peer is told of.
+func (w *World) arrives(l *link, _ []byte) { w.arriving = l }
+
+// endFlight notes the end of what is under way on a link, by the node's own doing or because the link broke.
+func (w *World) endFlight(l *link, byNode bool) {
+	f := l.use
+	if l.use = nil; f == nil || f.probe {
+		return
+	}
+	whole := standin.Whole(f.text)
+	if byNode && whole {
+		w.tell(rules.Event{Kind: rules.Off, Try: f.try})
+	} else {
+		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: !whole})
+	}
+}
+
+// marked notes what an answer tells a node.
+func (w *World) marked(l *link, m *standin.Mark) {
+	if f := l.use; m.Ended && f != nil && f.id == m.Request {
+		l.use = nil
+		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: m.Never})
+	}
+	if m.List == nil && !m.Full {
+		return
+	}
+	named := map[string]bool{}
+	for _, e := range m.List {
+		named[e.ID] = true
+		w.told(l.node, e)
+	}
+	if m.Full {
+		for _, p := range w.order {
+			if p.peer != nil && !named[p.name] {
+				e := p.entry
+				e.State = "terminated"
+				w.told(l.node, e)
+			}
+		}
+	}
+}
+
+var states = map[string]balance.State{"in_service": balance.Ready, "terminating": balance.Draining, "terminated": balance.Gone}
+
+func (w *World) told(n *simNode, e standin.Entry) {
+	w.tell(rules.Event{Kind: rules.Told, Node: n.name, Peer: e.ID, State: states[e.State], Zone: e.Zone, Cell: fmt.Sprint(e.Cell)})
+}
+
+// Job implements standin.Watcher.
+func (w *World) Job(peer, id string, work float64) {
+	l := w.arriving
+	w.tell(rules.Event{Kind: rules.Arrived, Node: l.node.name, Request: id, Peer: peer, Work: work})
+}
+
+// Made implements standin.Watcher.
+func (w *World) Made(peer, id, result string) {
+	w.tell(rules.Event{Kind: rules.Made, Request: id, Peer: peer, Result: result})
+}
+
+// Began implements standin.Watcher.
+func (w *World) Began(node, id string, until time.Time, class string) bool {
+	owed := !w.checker.Owed(node, id)
+	w.tell(rules.Event{Kind: rules.Taken, Node: node, Request: id, Class: w.classes[class], Until: until.Sub(w.start)})
+	return owed
+}
+
+// Ended implements standin.Watcher.
+func (w *World) Ended(node, id string, status int, body string) {
+	e := rules.Event{Kind: rules.Answered, Node: node, Request: id, Verdict: rules.Failed}
+	switch status {
+	case standin.Cut, standin.CutFirst:
+		e.Kind, e.First = rules.Dropped, status == standin.CutFirst
+	case standin.Crossed:
+		e.Kind = rules.Left
+	case 200:
+		e.Verdict, e.Result = rules.Served, body
+		w.out.Served++
+	case 429, 503:
+		e.Verdict = rules.Refused
+		w.out.Refused++
+	default:
+		w.out.Failed++
+	}
+	w.trace("%s answers %s with %d", node, id, status)
+	w.tell(e)
+}
+
+// Left implements standin.Watcher.
+func (w *World) Left(node, id string) {
+	w.trace("the client of %s leaves", id)
+	w.tell(rules.Event{Kind: rules.Left, Node: node, Request: id})
+}
+
+// Node implements standin.Reach: the front spreads connections over the nodes of the client's zone that are ready.
+func (w *World) Node(j *standin.Job, try int) string {
+	var in []*simNode
+	for _, n := range w.nodes {
+		if n.ready {
+			in = append(in, n)
+		}
+	}
+	if len(in) == 0 {
+		return ""
+	}
+	h := xxhash.Sum64String(fmt.Sprint(w.plan.Seed, j.Name, try))
+	return in[h%uint64(len(in))].name
+}
+
+// startNode starts a node's process: a new one, so that whatever still runs of an earlier one is none of its own.
+func (w *World) startNode(old *simNode) {
+	n := &simNode{w: w, index: old.index, name: old.name, zone: old.zone, listen: old.listen, disco: old.disco, life: old.life}
+	w.nodes[n.index] = n
+	conf := w.settings[n.index]
+	conf.Seed = xxhash.Sum64String(fmt.Sprint(w.plan.Seed, n.name, n.life))
+	conf.Discovery = n.disco
+	version, list := w.disco.List()
+	known, err := config.ParseGroup(standin.Text(version, true, list))
+	if err != nil {
+		panic(err)
+	}
+	conf.Known = known
+	for _, e := range list {
+		w.told(n, e)
+	}
+	n.life++
+	n.conf = &conf
+	n.up, n.links, n.began, n.over = true, map[*link]bool{}, w.now(), make(chan struct{})
+	n.ln, n.ended, n.reloads, n.turn = newListener(n), make(chan error, 1), make(chan *config.Config), make(chan struct{})
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	log := slog.New(slog.DiscardHandler)
+	if w.log.nodes != nil {
+		log = slog.New(slog.NewTextHandler(prefixed{w, n.name}, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: noTime}))
+	}
+	ln, ended := n.ln, n.ended
+	go func() {
+		err := node.Serve(ctx, machine.Machine{Dial: n.dial, Order: simOrder{n}}, &conf, ln, log, n.reloads)
+		ended <- err
+		w.signal()
+	}()
+	w.trace("%s starts", n.name)
+	var ask func()
+	ask = func() {
+		if n.up && !n.ready && n.termed == 0 {
+			w.Dial(n.name, 0, &asksReady{w: w, n: n, again: ask})
+		}
+	}
+	w.After(20*time.Millisecond, ask)
+}
+
+func noTime(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.TimeKey {
+		return slog.Attr{}
+	}
+	return a
+}
+
+// prefixed puts a node's log lines into the trace's text, not into its hash: goroutines write them as they come.
+type prefixed struct {
+	w    *World
+	name string
+}
+
+func (p prefixed) Write(b []byte) (int, error) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	fmt.Fprintf(p.w.log.nodes, "%12.6f   %s %s", p.w.now().Seconds(), p.name, b)
+	return len(b), nil
+}
+
+// asksReady is the front that asks whether a node is ready.
+type asksReady struct {
+	w     *World
+	n     *simNode
+	c     standin.Conn
+	again func()
+}
+
+func (a *asksReady) Up(c standin.Conn) {
+	a.c = c
+	c.Write([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), nil)
+}
+
+func (a *asksReady) Data(p []byte) {
+	_, code, _ := standin.Words(p)
+	a.c.Close()
+	if code == "200" && a.n.termed == 0 {
+		a.n.ready = true
+		return
+	}
+	a.w.After(50*time.Millisecond, a.again)
+}
+
+func (a *asksReady) Gone(bool) { a.w.After(50*time.Millisecond, a.again) }
+
+// term sends a node SIGTERM; SIGKILL follows.
+func (w *World) term(n *simNode, then func()) {
+	if !n.up || n.termed > 0 {
+		return
+	}
+	w.trace("%s SIGTERM", n.name)
+	n.termed = w.now()
+	n.stop()
+	w.After(ms(200+200*w.rnd.Float64()), func() { n.ready = false })
+	deadline := w.now() + 3700*time.Millisecond
+	var poll func()
+	poll = func() {
+		if !n.up {
+			return
+		}
+		select {
+		case err := <-n.ended:
+			n.ended <- err
+			w.exited(n)
+		default:
+			if w.now() < deadline {
+				w.After(20*time.Millisecond, poll)
+				return
+			}
+			w.kill(n, n.termed+700*time.Millisecond)
+		}
+		if then != nil {
+			then()
+		}
+	}
+	w.After(20*time.Millisecond, poll)
+}
+
+// exited takes the end of a node's process by itself.
+func (w *World) exited(n *simNode) {
+	err := <-n.ended
+	n.ended <- err
+	w.trace("%s ends: %v", n.name, err)
+	if n.held > 0 {
+		w.fault("leak", fmt.Sprintf("%s has ended and left %d connections open", n.name, n.held), n.name, "")
+	}
+	w.gone(n, 0)
+	if err != nil {
+		w.fault("crash", err.Error(), n.name, "")
+	}
+}
+
+// kill ends a node's process at once. What it had taken before the given time is excused.
+func (w *World) kill(n *simNode, excused time.Duration) {
+	if !n.up {
+		return
+	}
+	w.trace("%s is killed", n.name)
+	w.gone(n, excused)
+}
+
+func (w *World) gone(n *simNode, excused time.Duration) {
+	w.tell(rules.Event{Kind: rules.Killed, Node: n.name, Until: excused})
+	w.mu.Lock()
+	n.dead, n.up, n.ready = true, false, false
+	waits := slices.Index(w.waiting, n)
+	if waits >= 0 {
+		w.waiting = slices.Delete(w.waiting, waits, waits+1)
+	}
+	w.mu.Unlock()
+	for _, d := range w.dialings {
+		if d.node == n {
+			d.give(dialed{err: syscall.ECONNABORTED})
+		}
+	}
+	close(n.over)
+	n.stop()
+	n.ln.Close()
+	for _, l := range sortedLinks(n.links) { // the kernel resets what the process had open
+		if l.use = nil; !l.farShut && !l.broken {
+			l.farShut = true
+			w.at(w.now()+w.latency(l), func() {
+				if l.far != nil && !l.machine.cut {
+					l.far.Gone(true)
+				}
+			})
+		}
+		l.broken = true
+		l.ep.finish(true)
+	}
+	n.links = map[*link]bool{}
+	n.held = 0
+	if waits >= 0 {
+		n.turn <- struct{}{}
+	}
+}
+
+func sortedLinks(m map[*link]bool) []*link {
+	list := make([]*link, 0, len(m))
+	for l := range m {
+		list = append(list, l)
+	}
+	slices.SortFunc(list, func(a, b *link) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// stopPeer ends a peer's process: its connections are reset.
+func (w *World) stopPeer(m *machineState) {
+	if !m.peer.Up() {
+		return
+	}
+	w.trace("%s dies", m.name)
+	m.peer.Stop()
+	w.tell(rules.Event{Kind: rules.PeerDown, Peer: m.name})
+	for _, l := range sortedLinks(m.links) {
+		if !l.farShut {
+			l.farShut = true
+			l.snap()
+		}
+	}
+	m.links = map[*link]bool{}
+}
+
+// startPeer starts a peer's process.
+func (w *World) startPeer(m *machineState, cold bool) {
+	if m.peer.Up() {
+		return
+	}
+	w.trace("%s starts", m.name)
+	m.peer.Start(cold)
+	w.tell(rules.Event{
+		Kind: rules.PeerUp, Peer: m.name, Zone: m.zone, Cell: fmt.Sprint(m.entry.Cell),
+		Capacity: m.peer.Capacity(), Cold: cold,
+	})
+}
+
+// cut makes a machine vanish, or brings it back: then what was open is reset.
+func (w *World) cut(m *machineState, cut bool) {
+	if m.cut == cut {
+		return
+	}
+	m.cut = cut
+	w.trace("%s %s", m.name, map[bool]string{true: "vanishes", false: "is back"}[cut])
+	if cut {
+		return
+	}
+	for _, l := range sortedLinks(m.links) {
+		if !l.broken && !l.nodeEnd {
+			l.snap()
+		}
+		if !l.farShut {
+			l.farShut = true
+			l.far.Gone(true)
+		}
+	}
+	m.links = map[*link]bool{}
+}
+
+// recorder keeps the trace: a hash of all of it, its last lines, and on demand all of them.
+type recorder struct {
+	hash  *xxhash.Digest
+	last  []string
+	keep  int
+	all   io.Writer
+	nodes io.Writer // where the nodes' own log lines go, nil for nowhere
+	lines int
+}
+
+// trace notes a line.
+func (w *World) trace(format string, a ...any) {
+	line := fmt.Sprintf("%12.6f ", w.now().Seconds()) + fmt.Sprintf(format, a...)
+	r := &w.log
+	r.lines++
+	io.WriteString(r.hash, line)
+	if r.all != nil {
+		w.mu.Lock()
+		fmt.Fprintln(r.all, line)
+		w.mu.Unlock()
+	}
+	if r.last = append(r.last, line); len(r.last) > 2*r.keep {
+		r.last = append(r.last[:0], r.last[r.keep:]...)
+	}
+}
+
+// traceBytes notes bytes that have come to one end of a link.
+func (w *World) traceBytes(l *link, way string, p []byte) {
+	first := p
+	if len(first) > 70 {
+		first = first[:70]
+	}
+	w.trace("%s %s %d %x %q", l.label, way, len(p), xxhash.Sum64(p), first)
+}
+
+// goroutines is how many there are, for the check at the end.
+func goroutines() int { return runtime.NumGoroutine() }
+
+var forever = time.Duration(math.MaxInt64)
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,375 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+)
+
+// Shape is how a client goes about a request.
+type Shape string
+
+// Shapes. Those below Broken belong to clients that break the protocol.
+const (
+	Plain     Shape = ""
+	Pieces    Shape = "pieces"     // sends its request in pieces
+	SlowRead  Shape = "slow-read"  // takes its answer slowly
+	Impatient Shape = "impatient"  // gives up before its deadline
+	Broken    Shape = "broken"     // what cannot be read
+	Half      Shape = "half"       // half a request, then a close
+	Endless   Shape = "endless"    // a head that never ends
+	Double    Shape = "double"     // both lengths, and a second request in the body
+	Pipelined Shape = "pipelined"  // two requests at once
+	Silent    Shape = "silent"     // connects and says nothing
+	Borrowed  Shape = "borrowed"   // the id of another's open request
+	NoClass   Shape = "no-class"   // a class that does not exist
+	Huge      Shape = "huge"       // a body that is far too large
+	HalfClose Shape = "half-close" // ends its sending after the request, and waits
+)
+
+// Shapes lists them all.
+var Shapes = []Shape{Plain, Pieces, SlowRead, Impatient, Broken, Half, Endless, Double, Pipelined, Silent, Borrowed, NoClass, Huge, HalfClose}
+
+// Usual reports whether an answer in time is owed to a client of this shape.
+func (s Shape) Usual() bool {
+	return s == Plain || s == Pieces || s == SlowRead || s == Impatient
+}
+
+// Job is what a client wants done.
+type Job struct {
+	Name    string // ids are made from it
+	Class   string
+	Repeat  bool // the class may be repeated after any failure
+	Refused bool // or after a refusal only
+	Key     string
+	Work    float64       // seconds on a standard core
+	Hint    time.Duration // what the client says of it
+	Slots   float64
+	Memory  float64
+	Patient time.Duration // over all tries
+	GiveUp  time.Duration // of an impatient client
+	Body    int           // further bytes
+	Shape   Shape
+	Retries int
+	Pause   time.Duration // before a new try
+	ID      string        // used in place of a new one, where it is not empty
+}
+
+// What Watcher.Ended is told in place of a status.
+const (
+	Cut      = 0  // the connection ended without a whole answer
+	CutFirst = -1 // it ended so, and this was its first request
+	Crossed  = -2 // the node closed a kept connection while the request was on its way; it goes out once more
+)
+
+// Reach is where clients reach nodes.
+type Reach interface {
+	// Node names the node for the next connection; "" if none takes any.
+	Node(j *Job, try int) string
+	// Dial opens a connection; the handler's Gone is called if it does not come up. rate is how many bytes a second
+	// this end takes, 0 for no limit.
+	Dial(node string, rate int, h Opener)
+}
+
+// Opener is a handler that hears of its connection's coming up.
+type Opener interface {
+	Handler
+	Up(c Conn)
+}
+
+// Clients is a crowd of clients that share kept connections, as a front layer does.
+type Clients struct {
+	Clock Clock
+	Watch Watcher
+	Reach Reach
+	rnd   *rand.Rand
+	idle  map[string][]*call
+	// Served counts by how first tries ended in the end.
+	Asked, Served, Late, Lost int
+}
+
+// NewClients returns a crowd.
+func NewClients(c Clock, w Watcher, r Reach, seed uint64) *Clients {
+	return &Clients{Clock: c, Watch: w, Reach: r, rnd: Random(seed, "clients"), idle: map[string][]*call{}}
+}
+
+// call is one connection of a client with the request that it carries.
+type call struct {
+	cl     *Clients
+	node   string
+	c      Conn
+	in     []byte
+	a      *asking
+	shut   bool
+	used   bool // has carried an answer
+	resent bool
+	seen   bool
+	second string // the id of what was pipelined behind the first
+}
+
+// asking is a job on its way, over all tries.
+type asking struct {
+	*Job
+	cl    *Clients
+	start time.Time
+	try   int
+	id    string
+	stop  func()
+	call  *call
+}
+
+// Ask begins a job.
+func (cl *Clients) Ask(j *Job) {
+	a := &asking{Job: j, cl: cl, start: cl.Clock.Now()}
+	if j.Shape.Usual() {
+		cl.Asked++
+	}
+	a.send(false)
+}
+
+func (a *asking) left() time.Duration { return a.Patient - a.cl.Clock.Now().Sub(a.start) }
+
+// send starts a try, over a kept connection if there is one.
+func (a *asking) send(fresh bool) {
+	cl := a.cl
+	if a.left() < time.Millisecond {
+		a.lose()
+		return
+	}
+	a.id = fmt.Sprintf("%s-%d", a.Name, a.try)
+	if a.ID != "" {
+		a.id = a.ID
+	}
+	node := cl.Reach.Node(a.Job, a.try)
+	if node == "" {
+		a.again(true, 0)
+		return
+	}
+	if !fresh && a.Shape == Plain {
+		for n := len(cl.idle[node]); n > 0; n = len(cl.idle[node]) {
+			k := cl.idle[node][n-1]
+			cl.idle[node] = cl.idle[node][:n-1]
+			if !k.shut {
+				k.a, a.call = a, k
+				k.write()
+				return
+			}
+		}
+	}
+	k := &call{cl: cl, node: node, a: a}
+	a.call = k
+	rate := 0
+	if a.Shape == SlowRead {
+		rate = 4 << 10
+	}
+	a.wait()
+	cl.Reach.Dial(node, rate, k)
+}
+
+// wait winds the clock of the client's patience for this try.
+func (a *asking) wait() {
+	if a.stop != nil {
+		a.stop()
+	}
+	left := a.left()
+	if a.Shape == Impatient {
+		left = min(left, a.GiveUp)
+	}
+	if !a.Shape.Usual() {
+		left = 8 * time.Second
+	}
+	a.stop = a.cl.Clock.After(left, func() {
+		a.stop = nil
+		k := a.call
+		if k.seen {
+			a.cl.Watch.Left(k.node, a.id)
+		}
+		k.close()
+		a.lose()
+	})
+}
+
+// Up implements Opener.
+func (k *call) Up(c Conn) {
+	if k.c = c; k.shut {
+		c.Close()
+		return
+	}
+	k.write()
+}
+
+// Text words a request as a client sends it.
+func (a *asking) Text() []byte {
+	body := fmt.Appendf(nil, `{"work":%s,"slots":%g,"memory":%g}%*s`, strconv.FormatFloat(a.Work, 'f', 4, 64), a.Slots, a.Memory, a.Body, "")
+	head := fmt.Sprintf("POST /%s?sid=%s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %.3f\r\nX-Extras: slots=%g,memory=%g\r\n",
+		a.Class, a.Name, a.id, a.left().Seconds(), a.Slots, a.Memory)
+	if a.Key != "" {
+		head += "Idempotency-Key: " + a.Key + "\r\n"
+	}
+	if a.Hint > 0 {
+		head += "X-Cost-Hint: " + strconv.FormatInt(a.Hint.Microseconds(), 10) + "\r\n"
+	}
+	if a.try > 0 {
+		head += "X-Retry: 1\r\n"
+	}
+	if a.Shape == Double {
+		return fmt.Appendf(nil, "%sContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /%s HTTP/1.1\r\nX-Request-Id: hidden-%s\r\nContent-Length: 0\r\n\r\n", head, a.Class, a.Name)
+	}
+	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// write sends the request.
+func (k *call) write() {
+	a := k.a
+	a.wait()
+	text := a.Text()
+	switch a.Shape {
+	case Pieces:
+		for i := 0; i < 3 && len(text) > 60; i++ {
+			n := 1 + k.cl.rnd.IntN(len(text)/2)
+			k.c.Write(text[:n], nil)
+			text = text[n:]
+		}
+	case Broken:
+		text = []byte("\x16\x03\x01 what is this\r\n\r\n")
+	case Half:
+		k.c.Write(text[:len(text)/2], nil)
+		k.close()
+		a.end()
+		return
+	case Endless:
+		text = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Long: %030000d", a.Class, a.id, 7)
+	case Pipelined:
+		a.id += "p"
+		k.second = a.id
+		text = append(text, a.Text()...)
+		a.id = a.id[:len(a.id)-1]
+		k.cl.Watch.Began(k.node, k.second, k.cl.Clock.Now().Add(a.left()), a.Class)
+	case Silent:
+		return
+	case NoClass:
+		text = fmt.Appendf(nil, "POST /nothing HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", a.id)
+	case Huge:
+		text = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 60000000\r\n\r\n%0200000d", a.Class, a.id, 7)
+	}
+	if a.Shape.Usual() || a.Shape == Pipelined || a.Shape == HalfClose || a.Shape == Borrowed {
+		k.seen = k.cl.Watch.Began(k.node, a.id, k.cl.Clock.Now().Add(a.left()), a.Class)
+	}
+	k.c.Write(text, nil)
+	if a.Shape == HalfClose {
+		if h, ok := k.c.(interface{ CloseWrite() }); ok {
+			h.CloseWrite() // a node takes it for gone: whether more than its sending has ended does not show
+			if k.seen {
+				k.cl.Watch.Left(k.node, a.id)
+			}
+		}
+	}
+}
+
+func (k *call) close() {
+	if !k.shut {
+		k.shut = true
+		if k.second != "" {
+			k.cl.Watch.Left(k.node, k.second)
+		}
+		if k.c != nil {
+			k.c.Close()
+		}
+	}
+}
+
+// Data implements Handler.
+func (k *call) Data(p []byte) {
+	k.in = append(k.in, p...)
+	m, rest, ok := cut(k.in)
+	if !ok || k.shut {
+		return
+	}
+	k.in = append([]byte(nil), rest...)
+	_, code, _ := words(m.head)
+	status, _ := strconv.Atoi(code)
+	a := k.a
+	if a == nil {
+		return // a second answer to what was pipelined
+	}
+	if k.seen {
+		k.cl.Watch.Ended(k.node, a.id, status, string(m.body))
+	}
+	k.seen, k.used, k.a = false, true, nil
+	if field(m.head, "Connection") == "close" || a.Shape != Plain {
+		k.close()
+	} else {
+		k.cl.idle[k.node] = append(k.cl.idle[k.node], k)
+	}
+	if status == 200 {
+		a.end()
+		if a.Shape.Usual() {
+			k.cl.Served++
+		}
+		return
+	}
+	wait := time.Duration(0)
+	if s, err := strconv.ParseFloat(field(m.head, "Retry-After"), 64); err == nil {
+		wait = time.Duration(s * float64(time.Second))
+	}
+	a.again(a.Repeat || a.Refused && (status == 503 || status == 429), wait)
+}
+
+// Gone implements Handler.
+func (k *call) Gone(bool) {
+	if k.shut {
+		return
+	}
+	k.shut = true
+	a := k.a
+	if a == nil {
+		return
+	}
+	if k.second != "" {
+		k.cl.Watch.Left(k.node, k.second)
+	}
+	k.a = nil
+	if k.seen && k.used && !k.resent && len(k.in) == 0 && !k.Read() {
+		// The node has closed a kept connection as the request was on its way: it goes out once more.
+		k.cl.Watch.Ended(k.node, a.id, Crossed, "")
+		a.send(true)
+		return
+	}
+	if k.seen && k.used {
+		k.cl.Watch.Ended(k.node, a.id, Cut, "")
+	} else if k.seen {
+		k.cl.Watch.Ended(k.node, a.id, CutFirst, "")
+	}
+	a.again(a.Repeat || !k.seen, 0)
+}
+
+// Read reports whether the node's machine had taken the request before the connection ended.
+func (k *call) Read() bool {
+	r, ok := k.c.(interface{ Taken() bool })
+	return ok && r.Taken()
+}
+
+// again tries once more where the client would.
+func (a *asking) again(may bool, wait time.Duration) {
+	a.end()
+	if !may || a.try >= a.Retries || !a.Shape.Usual() {
+		a.lose()
+		return
+	}
+	a.try++
+	a.cl.Clock.After(max(a.Pause, wait, time.Millisecond), func() { a.send(false) })
+}
+
+func (a *asking) end() {
+	if a.stop != nil {
+		a.stop()
+		a.stop = nil
+	}
+}
+
+func (a *asking) lose() {
+	if a.Shape.Usual() {
+		a.cl.Lost++
+	}
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,245 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Entry is one entry of discovery's list, in its form on the wire.
+type Entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"` // in_service, terminating or terminated
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+// Discovery is the service that lists the peers. Several addresses may be served by one list: each is a Front.
+type Discovery struct {
+	Clock Clock
+	Late  time.Duration // between a change and its being told
+
+	version int
+	now     []Entry
+	changes []change
+	fronts  []*Front
+}
+
+type change struct {
+	version int
+	e       Entry
+}
+
+// List is the whole list as it stands.
+func (d *Discovery) List() (version int, list []Entry) { return d.version, slices.Clone(d.now) }
+
+// Text words a message of discovery.
+func Text(version int, full bool, list []Entry) []byte {
+	if list == nil {
+		list = []Entry{}
+	}
+	text, err := json.Marshal(map[string]any{"version": version, "full": full, "servers": list})
+	if err != nil {
+		panic(err) // entries hold nothing that JSON lacks
+	}
+	return text
+}
+
+// Set changes one entry of the list. It is told after Late.
+func (d *Discovery) Set(e Entry) {
+	d.Clock.After(d.Late, func() {
+		d.version++
+		d.changes = append(d.changes, change{d.version, e})
+		i := slices.IndexFunc(d.now, func(o Entry) bool { return o.ID == e.ID })
+		switch {
+		case e.State == "terminated" && i >= 0:
+			d.now = slices.Delete(slices.Clone(d.now), i, i+1)
+		case e.State == "terminated":
+		case i >= 0:
+			d.now = slices.Clone(d.now)
+			d.now[i] = e
+		default:
+			d.now = append(slices.Clone(d.now), e)
+		}
+		for _, f := range d.fronts {
+			f.tell()
+		}
+	})
+}
+
+// Front is an address at which discovery is asked.
+type Front struct {
+	Delay time.Duration // before a call is answered
+
+	d       *Discovery
+	down    bool
+	stale   int // the version that it stands still at, 0 if it does not
+	list    []Entry
+	watches []*watch
+}
+
+// Front returns a further address of the service.
+func (d *Discovery) Front() *Front {
+	f := &Front{d: d}
+	d.fronts = append(d.fronts, f)
+	return f
+}
+
+// Down ends the service at this address: watches break, calls are refused; or brings it back.
+func (f *Front) Down(down bool) {
+	f.down = down
+	if down {
+		for _, w := range f.watches {
+			w.c.Reset()
+		}
+		f.watches = nil
+	}
+}
+
+// Stale makes this address answer with the list as it stands now, whatever changes; or with the true one again.
+func (f *Front) Stale(stale bool) {
+	if stale {
+		f.stale, f.list = f.d.version, f.d.now
+	} else {
+		f.stale, f.list = 0, nil
+		f.tell()
+	}
+}
+
+// Silent makes every open watch fall silent for good.
+func (f *Front) Silent() {
+	for _, w := range f.watches {
+		w.silent = true
+	}
+	f.watches = nil
+}
+
+// tell passes changes on to the watches.
+func (f *Front) tell() {
+	if f.stale > 0 {
+		return
+	}
+	for _, w := range f.watches {
+		w.tell()
+	}
+}
+
+// watch is one connection, a watch once it has asked to be.
+type watch struct {
+	f       *Front
+	c       Conn
+	in      []byte
+	version int
+	silent  bool
+	gone    bool
+}
+
+// Open takes a new connection; nil refuses it.
+func (f *Front) Open(c Conn) Handler {
+	if f.down {
+		return nil
+	}
+	return &watch{f: f, c: c}
+}
+
+// Data implements Handler.
+func (w *watch) Data(b []byte) {
+	w.in = append(w.in, b...)
+	m, rest, ok := cut(w.in)
+	if !ok {
+		return
+	}
+	w.in = append([]byte(nil), rest...)
+	_, target, _ := words(m.head)
+	w.f.d.Clock.After(w.f.Delay, func() {
+		if w.gone || w.f.down {
+			w.c.Reset()
+			return
+		}
+		w.answer(target)
+	})
+}
+
+func (w *watch) answer(target string) {
+	f := w.f
+	version, list := f.d.version, f.d.now
+	if f.stale > 0 {
+		version, list = f.stale, f.list
+	}
+	path, query, _ := strings.Cut(target, "?")
+	if path != "/v1/endpoints" {
+		w.c.Write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), nil)
+		return
+	}
+	if !strings.Contains(query, "follow=1") {
+		text := Text(version, true, list)
+		w.c.Write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text), &Mark{Full: true, List: list})
+		return
+	}
+	w.c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), nil)
+	_, since, _ := strings.Cut(query, "since=")
+	from, err := strconv.Atoi(since)
+	if err != nil || from <= 0 || from > version || len(f.d.changes) > 0 && from < f.d.changes[0].version-1 {
+		w.version = version
+		w.line(Text(version, true, list), &Mark{Full: true, List: list})
+	} else if w.version = from; f.stale == 0 {
+		w.tell()
+	}
+	f.watches = append(f.watches, w)
+	w.beat()
+}
+
+// beat sends an empty line every two seconds.
+func (w *watch) beat() {
+	w.f.d.Clock.After(2*time.Second, func() {
+		if !w.gone && !w.silent && !w.f.down {
+			w.line(nil, nil)
+			w.beat()
+		}
+	})
+}
+
+// tell sends what has changed since the last message.
+func (w *watch) tell() {
+	var list []Entry
+	for _, c := range w.f.d.changes {
+		if c.version > w.version {
+			list = append(list, c.e)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	w.version = w.f.d.version
+	w.line(Text(w.version, false, latest(list)), &Mark{List: latest(list)})
+}
+
+// latest keeps the last entry of each peer.
+func latest(list []Entry) (last []Entry) {
+	for i, e := range list {
+		if !slices.ContainsFunc(list[i+1:], func(o Entry) bool { return o.ID == e.ID }) {
+			last = append(last, e)
+		}
+	}
+	return last
+}
+
+func (w *watch) line(text []byte, m *Mark) {
+	var b bytes.Buffer
+	chunk(&b, append(text, '\n'))
+	w.c.Write(b.Bytes(), m)
+}
+
+// Gone implements Handler.
+func (w *watch) Gone(bool) {
+	w.gone = true
+	w.f.watches = slices.DeleteFunc(w.f.watches, func(o *watch) bool { return o == w })
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,158 @@
+// Package standin plays the parties that a node meets: peers, discovery and clients, as PROTOCOL describes them, with
+// the faults that a script gives them. They are state machines without goroutines, clocks or sockets of their own: a
+// host tells them what comes on their connections and when their timers end. The simulation hosts them on a virtual
+// network; Sockets hosts them on loopback.
+package standin
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Clock is time as the host has it. Calls back come one at a time, never from within a stand-in's own call.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration, f func()) (stop func())
+}
+
+// Conn is a stand-in's end of a connection. Its methods return at once.
+type Conn interface {
+	// Write sends bytes. A mark, if there is one, tells the host what the other end knows once it has them all.
+	Write(p []byte, m *Mark)
+	// Close ends sending and receiving, after all that was written.
+	Close()
+	// Reset breaks the connection off.
+	Reset()
+}
+
+// Handler takes what comes on a connection.
+type Handler interface {
+	Data(p []byte)
+	// Gone tells that the other end has closed the connection, or that it broke.
+	Gone(reset bool)
+}
+
+// Mark says what an answer, or a part of it, tells the node.
+type Mark struct {
+	Request string // the id of the request that the answer is to
+	Ended   bool   // the try is over
+	Never   bool   // and it is proven that it never ran
+	Full    bool   // discovery's message is the whole list
+	List    []Entry
+}
+
+// Watcher is told what happens at stand-ins, for a checker. All of its methods may do nothing.
+type Watcher interface {
+	Job(peer, request string, work float64) // a job's last byte has come, with the slot seconds that it takes
+	Made(peer, request, result string)      // a result was made
+	// Began tells that a client has sent a request's last byte. False says that its end is not to be told: the id is in
+	// use by an open request.
+	Began(node, request string, until time.Time, class string) bool
+	Ended(node, request string, status int, body string) // an answer has come whole; or one of Cut, CutFirst, Crossed
+	Left(node, request string)                           // a client has given up
+}
+
+// Random returns a source of random numbers of its own for the thing named, so that adding one thing does not change
+// the luck of the others.
+func Random(seed uint64, name string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
+}
+
+// message is one HTTP/1.1 message cut from a stream: the head up to and with its empty line, and the body.
+type message struct{ head, body []byte }
+
+// cut takes a whole message off the front of text. It understands Content-Length and chunked bodies; that is all
+// that the node writes.
+func cut(text []byte) (m message, rest []byte, ok bool) {
+	end := bytes.Index(text, []byte("\r\n\r\n"))
+	if end < 0 {
+		return m, text, false
+	}
+	m.head, rest = text[:end+4], text[end+4:]
+	if field(m.head, "Transfer-Encoding") == "chunked" {
+		for {
+			line, after, found := bytes.Cut(rest, []byte("\r\n"))
+			n := 0
+			for _, d := range line {
+				n = n*16 + int(hexDigit(d))
+			}
+			if !found || len(after) < n+2 {
+				return m, text, false
+			}
+			m.body, rest = append(m.body, after[:n]...), after[n+2:]
+			if n == 0 {
+				return m, rest, true
+			}
+		}
+	}
+	n := 0
+	for _, d := range field(m.head, "Content-Length") {
+		n = n*10 + int(d-'0')
+	}
+	if len(rest) < n {
+		return m, text, false
+	}
+	m.body = rest[:n]
+	return m, rest[n:], true
+}
+
+func hexDigit(d byte) byte {
+	switch {
+	case d >= 'a':
+		return d - 'a' + 10
+	case d >= 'A':
+		return d - 'A' + 10
+	}
+	return d - '0'
+}
+
+// field returns the value of a header field; names are compared as the node writes them, in canonical form.
+func field(head []byte, name string) string {
+	key := append(append(make([]byte, 0, 40), "\r\n"...), name...)
+	key = append(key, ": "...)
+	at := bytes.Index(head, key)
+	if at < 0 {
+		return ""
+	}
+	value, _, _ := bytes.Cut(head[at+len(key):], []byte("\r\n"))
+	return string(value)
+}
+
+// words returns the first line of a head in its three parts.
+func words(head []byte) (a, b, c string) {
+	line, _, _ := bytes.Cut(head, []byte("\r\n"))
+	x, rest, _ := bytes.Cut(line, []byte(" "))
+	y, z, _ := bytes.Cut(rest, []byte(" "))
+	return string(x), string(y), string(z)
+}
+
+// Field returns a header field of a message that the node has written, from its first bytes.
+func Field(text []byte, name string) string { return field(text, name) }
+
+// Words returns the three parts of a message's first line.
+func Words(text []byte) (a, b, c string) { return words(text) }
+
+// Whole reports whether text holds a whole message.
+func Whole(text []byte) bool {
+	_, _, ok := cut(text)
+	return ok
+}
+
+// chunk frames bytes as one chunk.
+func chunk(w io.Writer, p []byte) {
+	const digits = "0123456789abcdef"
+	var size [16]byte
+	i := len(size)
+	for n := len(p); n > 0 || i == len(size); n >>= 4 {
+		i--
+		size[i] = digits[n&15]
+	}
+	w.Write(size[i:])
+	io.WriteString(w, "\r\n")
+	w.Write(p)
+	io.WriteString(w, "\r\n")
+}
