Simulation: same trace every time; the checker knows which start of a peer a node was told of

Deeds of a killed process no longer reach the network. Trace lines are worded only when read, and a simulation ends when nothing is owed any more.

--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -158,12 +158,14 @@
 // spare reports whether a request came on a spare connection.
 func (c *connections) spare(ctx context.Context) bool { return ctx.Value(spareKey{}) != nil }
 
-// closeIdle closes the connections that have carried no request for so long.
+// closeIdle closes the connections that have carried no request for so long. They no longer count: whether the server
+// has noticed by the next look must not decide how long a drain takes.
 func (c *connections) closeIdle(after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.open {
 		if s.state != http.StateActive && time.Since(s.since) >= after {
+			delete(c.open, conn)
 			conn.Close()
 		}
 	}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -23,7 +23,7 @@
 const (
 	PeerUp   Kind = iota // Peer, Zone, Cell, Capacity (work a second when warm), Cold: a process starts
 	PeerDown             // Peer: it ends
-	Told                 // Node, Peer, State, Zone, Cell: discovery's word reaches the node
+	Told                 // Node, Peer, State, Zone, Cell, Since: discovery's word reaches the node
 	Taken                // Node, Request, Class, Until (when the client gives up): a request's last byte has come
 	Left                 // Node, Request: its client has given up
 	Answered             // Node, Request, Verdict, Result: the last byte of the answer is written
@@ -72,7 +72,8 @@
 	Cell     string
 	Capacity float64
 	Cold     bool
-	Work     float64 // in the unit of Capacity times seconds
+	Since    time.Duration // of Told: when the process that the list knows of started
+	Work     float64       // in the unit of Capacity times seconds
 }
 
 // Config is what the rules depend on. Times of zero are bounds of zero, but for ColdFor and FallAfter: without them
@@ -135,7 +136,7 @@
 type told struct {
 	state balance.State
 	at    time.Duration // when it turned to what it is
-	up    time.Duration // when this node was last told of the process that runs
+	since time.Duration // the start of the newest process that this node was told of
 }
 
 type load struct {
@@ -186,9 +187,7 @@
 		if !known || (was.state == balance.Ready) != (e.State == balance.Ready) {
 			was.at = e.At // a peer that drains and then ends was told to stop when it began to drain
 		}
-		if was.state = e.State; e.State == balance.Ready {
-			was.up = e.At
-		}
+		was.state, was.since = e.State, max(was.since, e.Since)
 		p.told[e.Node] = was
 	case Taken:
 		if j := c.jobs[key(e)]; j != nil && !j.over {
@@ -405,7 +404,7 @@
 	for _, l := range p.loads {
 		sum, largest = sum+l.work, max(largest, l.work)
 		w, heard := p.told[l.node]
-		if heard && w.up >= p.started || c.c.ToldAfter > 0 && l.at >= p.started+c.c.ToldAfter {
+		if heard && w.since >= p.started || c.c.ToldAfter > 0 && l.at >= p.started+c.c.ToldAfter {
 			knowing += l.work
 		}
 	}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -59,6 +59,7 @@
 	sent    int             // bytes written by the stand-in
 	got     int             // of those, bytes that have come to the node
 	label   string
+	held    bool // the node's process holds its end open
 }
 
 // flight is one request from a node to a peer.
@@ -326,7 +327,7 @@
 	node *simNode
 	mu   sync.Mutex
 	cond *sync.Cond
-	wait []net.Conn
+	wait []*endpoint // in the machine's backlog: the process holds none of these
 	shut bool
 }
 
@@ -348,6 +349,7 @@
 	}
 	c := l.wait[0]
 	l.wait = l.wait[1:]
+	l.node.hold(c.l)
 	return c, nil
 }
 
@@ -371,7 +373,7 @@
 func (l *listener) Addr() net.Addr { return addr(l.node.listen) }
 
 // offer hands the node a connection, unless its listener is closed.
-func (l *listener) offer(c net.Conn) bool {
+func (l *listener) offer(c *endpoint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.shut {
@@ -382,6 +384,14 @@
 	return true
 }
 
+// hold counts a connection among those that the node's process holds.
+func (n *simNode) hold(l *link) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	l.held = true
+	n.held++
+}
+
 // far is the stand-in's end of a link.
 type far struct{ l *link }
 
@@ -430,7 +440,7 @@
 			return
 		}
 		l.got += len(p)
-		l.w.traceBytes(l, "->", p)
+		l.w.traceBytes(l, " ->", p)
 		if m != nil {
 			l.w.marked(l, m)
 		}
@@ -478,7 +488,7 @@
 			}
 			return
 		}
-		l.w.traceBytes(l, "<-", p)
+		l.w.traceBytes(l, " <-", p)
 		if l.toPeer {
 			l.w.arrives(l, p)
 		}
@@ -491,8 +501,9 @@
 	if !half {
 		l.nodeEnd = true
 		l.w.endpoints--
-		if l.node.links[l] {
-			delete(l.node.links, l)
+		delete(l.node.links, l)
+		if l.held {
+			l.held = false
 			l.node.held--
 		}
 		l.w.endFlight(l, true)
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -281,6 +281,8 @@
 			g := Fault{Kind: names[r.IntN(len(names))], At: f.At + float64(r.IntN(3)-1)/1000, For: f.For, Target: f.Target, Amount: f.Amount}
 			if on := faults[g.Kind].on; on == onNode {
 				g.Target %= p.Nodes
+			} else {
+				g.Target %= len(p.Peers)
 			}
 			p.Faults = append(p.Faults, g)
 		}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -61,7 +61,9 @@
 		w := build(p, out, opt)
 		w.play()
 		out.Hash, out.Lines, out.Steps, out.Virtual = w.log.hash.Sum64(), w.log.lines, w.steps, w.now()
-		out.Last = append([]string(nil), w.log.last[max(0, len(w.log.last)-w.log.keep):]...)
+		for _, e := range w.log.last[max(0, len(w.log.last)-w.log.keep):] {
+			out.Last = append(out.Last, e.String())
+		}
 	})
 	return out
 }
@@ -230,7 +232,16 @@
 	for _, f := range p.Faults {
 		last = max(last, f.At+f.For)
 	}
-	w.run(ms(last+10500), nil)
+	troubles := 0.0
+	for _, f := range p.Faults {
+		troubles = max(troubles, f.At+f.For)
+	}
+	asked := 0.0
+	for _, j := range p.Jobs {
+		asked = max(asked, j.At)
+	}
+	quiet := ms(max(troubles, asked) + p.Late + 1000)
+	w.run(ms(last+10500), func() bool { return w.now() > quiet && w.clients.Open == 0 && w.checker.Open() == 0 })
 	if n := w.checker.Open(); n > 0 && w.out.Fault == "" {
 		w.fault("rule 1", fmt.Sprintf("%d requests have no answer at the end", n), "", "")
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -59,3 +59,20 @@
 		}
 	}
 }
+
+func TestScan(t *testing.T) {
+	for w := range 4 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			for i := 1 + w; i <= 1600; i += 4 {
+				out := Run(t, Draw(uint64(i)), Options{Keep: 20})
+				if again := Run(t, Draw(uint64(i)), Options{Keep: 20}); again.Hash != out.Hash {
+					t.Errorf("seed %d: %x %x", i, out.Hash, again.Hash)
+				}
+				if out.Fault != "" {
+					fmt.Println(i, out)
+				}
+			}
+		})
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -107,7 +107,8 @@
 	life    int
 	conf    *config.Config
 	disco   string
-	held    int // endpoints open
+	held    int  // endpoints open
+	stirred bool // something has happened to it since it was looked at
 	began   time.Duration
 	over    chan struct{} // closed when the process is gone
 }
@@ -217,9 +218,9 @@
 	deeds := w.deeds
 	w.deeds = nil
 	w.mu.Unlock()
-	if len(deeds) == 0 {
-		return false
-	}
+	// What the goroutines of a killed process do on their way out reaches nobody.
+	some := len(deeds) > 0
+	deeds = slices.DeleteFunc(deeds, func(d deed) bool { return d.l != nil && d.l.node.dead })
 	slices.SortStableFunc(deeds, func(a, b deed) int {
 		if c := cmp.Compare(a.kind, b.kind); c != 0 {
 			return c
@@ -254,7 +255,7 @@
 			w.dialed(d.dial)
 		}
 	}
-	return true
+	return some
 }
 
 // dialed sends a node's dialing on its way.
@@ -295,7 +296,7 @@
 			}
 			w.trace("%s up for %s", l.label, d.why)
 			w.endpoints++
-			n.held++
+			n.hold(l)
 			n.links[l] = true
 			if !d.give(dialed{e: l.ep}) { // the node has given up: what came up is closed
 				l.ep.Close()
@@ -319,7 +320,6 @@
 		ok := n.up && !n.dead && n.ln.offer(l.ep)
 		if ok {
 			w.endpoints++
-			n.held++
 			n.links[l] = true
 		}
 		w.at(w.now()+w.latency(l), func() {
@@ -404,6 +404,7 @@
 	n := w.waiting[i]
 	w.waiting = slices.Delete(w.waiting, i, i+1)
 	w.mu.Unlock()
+	n.stirred = true
 	n.turn <- struct{}{}
 	return true
 }
@@ -412,9 +413,10 @@
 func (w *World) check() {
 	w.broke(w.checker.Until(w.now()))
 	for _, n := range w.nodes {
-		if !n.up || n.dead || n.charges == nil {
+		if !n.up || n.dead || n.charges == nil || !n.stirred {
 			continue
 		}
+		n.stirred = false
 		if most := n.conf.Limits.ClientConns + n.conf.Limits.SpareConns + n.conf.Limits.PeerConns + 8; n.held > most {
 			w.fault("descriptors", fmt.Sprintf("%s holds %d connections, %d are its budget", n.name, n.held, most), n.name, "")
 		}
@@ -467,6 +469,7 @@
 
 // departs notes a request that leaves a node for a peer.
 func (w *World) departs(l *link, p []byte) {
+	l.node.stirred = true
 	if l.use == nil || standin.Whole(l.use.text) {
 		if l.use != nil && !l.use.probe {
 			w.endFlight(l, false)
@@ -488,6 +491,7 @@
 // endFlight notes the end of what is under way on a link, by the node's own doing or because the link broke.
 func (w *World) endFlight(l *link, byNode bool) {
 	f := l.use
+	l.node.stirred = true
 	if l.use = nil; f == nil || f.probe {
 		return
 	}
@@ -501,6 +505,7 @@
 
 // marked notes what an answer tells a node.
 func (w *World) marked(l *link, m *standin.Mark) {
+	l.node.stirred = true
 	if f := l.use; m.Ended && f != nil && f.id == m.Request {
 		l.use = nil
 		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: m.Never})
@@ -527,7 +532,11 @@
 var states = map[string]balance.State{"in_service": balance.Ready, "terminating": balance.Draining, "terminated": balance.Gone}
 
 func (w *World) told(n *simNode, e standin.Entry) {
-	w.tell(rules.Event{Kind: rules.Told, Node: n.name, Peer: e.ID, State: states[e.State], Zone: e.Zone, Cell: fmt.Sprint(e.Cell)})
+	since := time.Duration(0)
+	if e.Started > 0 { // the list counts in whole milliseconds
+		since = time.UnixMilli(e.Started).Sub(w.start) + time.Millisecond
+	}
+	w.tell(rules.Event{Kind: rules.Told, Node: n.name, Peer: e.ID, State: states[e.State], Zone: e.Zone, Cell: fmt.Sprint(e.Cell), Since: since})
 }
 
 // Job implements standin.Watcher.
@@ -833,38 +842,55 @@
 // recorder keeps the trace: a hash of all of it, its last lines, and on demand all of them.
 type recorder struct {
 	hash  *xxhash.Digest
-	last  []string
+	last  []entry
 	keep  int
+	buf   []byte
 	all   io.Writer
 	nodes io.Writer // where the nodes' own log lines go, nil for nowhere
 	lines int
 }
 
+// entry is a line of the trace. Bytes are put into words only when somebody reads them.
+type entry struct {
+	at    time.Duration
+	text  string
+	data  []byte
+	total int
+	sum   uint64
+}
+
+func (e entry) String() string {
+	if e.data == nil {
+		return fmt.Sprintf("%12.6f %s", e.at.Seconds(), e.text)
+	}
+	return fmt.Sprintf("%12.6f %s %d %x %q", e.at.Seconds(), e.text, e.total, e.sum, e.data)
+}
+
 // trace notes a line.
-func (w *World) trace(format string, a ...any) {
-	line := fmt.Sprintf("%12.6f ", w.now().Seconds()) + fmt.Sprintf(format, a...)
+func (w *World) trace(format string, a ...any) { w.note(entry{text: fmt.Sprintf(format, a...)}) }
+
+// traceBytes notes bytes that have come to one end of a link.
+func (w *World) traceBytes(l *link, way string, p []byte) {
+	w.note(entry{text: l.label + way, data: p[:min(len(p), 70)], total: len(p), sum: xxhash.Sum64(p)})
+}
+
+func (w *World) note(e entry) {
+	e.at = w.now()
 	r := &w.log
 	r.lines++
-	io.WriteString(r.hash, line)
+	r.buf = binary.LittleEndian.AppendUint64(r.buf[:0], uint64(e.at))
+	r.buf = binary.LittleEndian.AppendUint64(append(r.buf, e.text...), e.sum)
+	r.hash.Write(r.buf)
 	if r.all != nil {
 		w.mu.Lock()
-		fmt.Fprintln(r.all, line)
+		fmt.Fprintln(r.all, e)
 		w.mu.Unlock()
 	}
-	if r.last = append(r.last, line); len(r.last) > 2*r.keep {
+	if r.last = append(r.last, e); len(r.last) > 2*r.keep {
 		r.last = append(r.last[:0], r.last[r.keep:]...)
 	}
 }
 
-// traceBytes notes bytes that have come to one end of a link.
-func (w *World) traceBytes(l *link, way string, p []byte) {
-	first := p
-	if len(first) > 70 {
-		first = first[:70]
-	}
-	w.trace("%s %s %d %x %q", l.label, way, len(p), xxhash.Sum64(p), first)
-}
-
 // goroutines is how many there are, for the check at the end.
 func goroutines() int { return runtime.NumGoroutine() }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -85,8 +85,9 @@
 	Reach Reach
 	rnd   *rand.Rand
 	idle  map[string][]*call
-	// Served counts by how first tries ended in the end.
-	Asked, Served, Late, Lost int
+	Open  int // jobs under way
+	// How the jobs of usual clients ended, after all tries.
+	Asked, Served, Lost int
 }
 
 // NewClients returns a crowd.
@@ -117,11 +118,13 @@
 	id    string
 	stop  func()
 	call  *call
+	over  bool
 }
 
 // Ask begins a job.
 func (cl *Clients) Ask(j *Job) {
 	a := &asking{Job: j, cl: cl, start: cl.Clock.Now()}
+	cl.Open++
 	if j.Shape.Usual() {
 		cl.Asked++
 	}
@@ -134,7 +137,7 @@
 func (a *asking) send(fresh bool) {
 	cl := a.cl
 	if a.left() < time.Millisecond {
-		a.lose()
+		a.finish(false)
 		return
 	}
 	a.id = fmt.Sprintf("%s-%d", a.Name, a.try)
@@ -186,7 +189,7 @@
 			a.cl.Watch.Left(k.node, a.id)
 		}
 		k.close()
-		a.lose()
+		a.finish(false)
 	})
 }
 
@@ -236,7 +239,7 @@
 	case Half:
 		k.c.Write(text[:len(text)/2], nil)
 		k.close()
-		a.end()
+		a.finish(false)
 		return
 	case Endless:
 		text = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Long: %030000d", a.Class, a.id, 7)
@@ -303,10 +306,7 @@
 		k.cl.idle[k.node] = append(k.cl.idle[k.node], k)
 	}
 	if status == 200 {
-		a.end()
-		if a.Shape.Usual() {
-			k.cl.Served++
-		}
+		a.finish(true)
 		return
 	}
 	wait := time.Duration(0)
@@ -354,7 +354,7 @@
 func (a *asking) again(may bool, wait time.Duration) {
 	a.end()
 	if !may || a.try >= a.Retries || !a.Shape.Usual() {
-		a.lose()
+		a.finish(false)
 		return
 	}
 	a.try++
@@ -368,8 +368,20 @@
 	}
 }
 
-func (a *asking) lose() {
-	if a.Shape.Usual() {
+// finish ends a job, after all its tries.
+func (a *asking) finish(served bool) {
+	a.end()
+	if a.over {
+		return
+	}
+	a.over = true
+	a.cl.Open--
+	if !a.Shape.Usual() {
+		return
+	}
+	if served {
+		a.cl.Served++
+	} else {
 		a.cl.Lost++
 	}
 }
--- a/internal/standin/peer.go
+++ b/internal/standin/peer.go
@@ -250,7 +250,7 @@
 	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	class, known := p.Fleet.Classes[path]
 	var body struct{ Work, Slots, Memory float64 }
-	if id == "" || !known || json.Unmarshal(m.body, &body) != nil {
+	if end := bytes.IndexByte(m.body, '}'); id == "" || !known || end < 0 || json.Unmarshal(m.body[:end+1], &body) != nil {
 		c.status("400 Bad Request", "", &Mark{Request: id, Ended: true})
 		return
 	}
