Simulation: hard cases by name, shrinking, planted faults and a command for it all

Need: a failing seed must be replayed and made small by a newcomer, and the harness must be shown to catch faults.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -690,5 +690,7 @@
 	return w.Weight / w.capSlots
 }
 
-// work is the expected running time of a job times its slots.
-func (b *Balancer) work(r *request) float64 { return r.Slots * b.run[r.Class] }
+// work is the expected running time of a job times its slots: the class's, or the job's own where that is longer.
+func (b *Balancer) work(r *request) float64 {
+	return r.Slots * max(b.run[r.Class], r.Work.Seconds()/b.usual)
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -121,6 +121,7 @@
 	answers  int
 	over     bool          // answered, left by its client, or its node is dead
 	left     time.Duration // when its client left
+	ended    time.Duration // when it was over
 	shared   bool          // its id is another's too: what goes out under it cannot be told apart
 }
 
@@ -199,13 +200,13 @@
 		heap.Push(&c.due, j)
 	case Left:
 		if j := c.jobs[key(e)]; j != nil && !j.over {
-			j.over, j.left = true, e.At
+			j.over, j.left, j.ended = true, e.At, e.At
 		}
 	case Answered:
 		c.answered(e)
 	case Dropped:
 		if j := c.jobs[key(e)]; j != nil && !j.over {
-			j.over = true
+			j.over, j.ended = true, e.At
 			if e.First && len(j.tries) == 0 {
 				break // the client takes it for a connection that never came up
 			}
@@ -227,7 +228,7 @@
 			if j.node != e.Node || j.over {
 				continue
 			}
-			j.over = j.taken < e.Until // an answer of the others may yet be on its way
+			j.over, j.ended = j.taken < e.Until, e.At // an answer of the others may yet be on its way
 		}
 		for n := range c.tries {
 			if c.owner[n].node == e.Node {
@@ -247,7 +248,7 @@
 	for len(c.due) > 0 && (c.due[0].over || c.due[0].due < at) {
 		j := heap.Pop(&c.due).(*job)
 		if !j.over {
-			j.over = true
+			j.over, j.ended = true, at
 			c.broken(1, Event{At: at, Node: j.node, Request: j.id}, fmt.Sprintf("no answer by %v", j.due))
 		}
 	}
@@ -267,6 +268,17 @@
 // Out is how many tries a node has out at a peer.
 func (c *Checker) Out(node, peer string) int { return c.out[[2]string{node, peer}] }
 
+// Stray returns a try that is still out though its request ended longer ago than the given time, or nil. No rule
+// forbids it, but it takes room from others.
+func (c *Checker) Stray(at, after time.Duration) *Event {
+	for n, t := range c.tries {
+		if j := c.owner[n]; j.over && !j.shared && at > j.ended+after {
+			return &Event{At: at, Node: j.node, Request: j.id, Peer: t.peer, Try: n}
+		}
+	}
+	return nil
+}
+
 // end takes a try off those that are out.
 func (c *Checker) end(n int) {
 	t := c.tries[n]
@@ -308,6 +320,9 @@
 
 func (c *Checker) answered(e Event) {
 	j := c.jobs[key(e)]
+	if e.Verdict == Served && !c.made[[2]string{e.Request, e.Result}] {
+		c.broken(1, e, "served with what no peer made for it")
+	}
 	if j == nil || j.over && j.answers == 0 {
 		return // nothing was owed: never taken whole, left, or found missing before
 	}
@@ -315,13 +330,8 @@
 		c.broken(1, e, "answered twice")
 		return
 	}
-	j.over = true
-	switch e.Verdict {
-	case Served:
-		if !c.made[[2]string{e.Request, e.Result}] {
-			c.broken(1, e, "served with what no peer made for it")
-		}
-	case Refused:
+	j.over, j.ended = true, e.At
+	if e.Verdict == Refused {
 		cl := &c.c.Classes[j.class]
 		if cl.Effect == balance.Safe || cl.Effect == balance.Keyed && cl.Scope == balance.AllWorkers {
 			return
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -22,7 +22,8 @@
 	Sockets  int     `json:"sockets"`   // descriptors of a node
 	MemoryMB int     `json:"memory_mb"` // of a node
 	Net      Net     `json:"net"`
-	Scale    float64 `json:"scale"` // of the classes' times
+	Scale    float64 `json:"scale"`   // of the classes' times
+	Windows  float64 `json:"windows"` // of the times for which repeats are dropped, beside scale
 	Copies   bool    `json:"copies"`
 	Tells    bool    `json:"tells"` // peers tell of starts and progress
 	Queue    bool    `json:"queue"` // reports tell how many jobs wait
@@ -67,6 +68,7 @@
 	Tries  int           `json:"tries"` // after the first
 	ID     string        `json:"id,omitempty"`
 	Key    string        `json:"key,omitempty"`
+	Name   int           `json:"name,omitempty"` // 1 and more than the number that its ids are made of; 0: its place
 }
 
 // Fault is something that goes wrong.
@@ -140,6 +142,8 @@
 		return bad("memory_mb")
 	case !ok(p.Scale, 0.01, 100):
 		return bad("scale")
+	case !ok(p.Windows, 0.001, 100):
+		return bad("windows")
 	case !ok(p.Late, 0, 60000):
 		return bad("late")
 	case !ok(p.Net.Near, 0, 1000), !ok(p.Net.Far, 0, 1000), !ok(p.Net.Jitter, 0, 1000):
@@ -190,7 +194,10 @@
 		Seed: seed, Nodes: 1 + r.IntN(4), Sockets: []int{128, 256, 1024}[r.IntN(3)], MemoryMB: []int{32, 64, 192}[r.IntN(3)],
 		Net:   Net{Near: span(r.Float64(), 0.05, 0.4), Far: span(r.Float64(), 1.4, 2.6), Jitter: span(r.Float64(), 0.01, 0.5)},
 		Scale: span(r.Float64(), 0.1, 0.5), Copies: r.Float64() < 0.8, Tells: r.Float64() < 0.85, Queue: r.Float64() < 0.3,
-		Late: span(r.Float64(), 100, 4000),
+		Late: span(r.Float64(), 100, 4000), Windows: 1,
+	}
+	if r.IntN(3) == 0 {
+		p.Windows = span(r.Float64(), 0.02, 0.3)
 	}
 	n := 3 + r.IntN(10)
 	if r.IntN(8) == 0 {
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -22,6 +22,7 @@
 	Lines, Steps            int
 	Virtual                 time.Duration
 	Served, Refused, Failed int // answers
+	TurnedAway              int // tries that a peer had no room for
 	Violations              []rules.Violation
 
 	Fault   string // what broke first, "" if nothing
@@ -79,7 +80,7 @@
 	classes := map[string]standin.Class{}
 	for i, c := range classPlans {
 		w.classes[c.name] = i
-		classes[c.name] = standin.Class{Keyed: c.effect == "dedup", Scope: c.scope, Window: ms(c.window * p.Scale)}
+		classes[c.name] = standin.Class{Keyed: c.effect == "dedup", Scope: c.scope, Window: ms(c.window * p.Scale * p.Windows)}
 	}
 	w.fleet = standin.NewFleet(w, w, classes)
 	for i, r := range p.Peers {
@@ -145,7 +146,7 @@
 	for _, c := range classPlans {
 		profiles = append(profiles, profile{
 			"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim * p.Scale, "deadlineMs": c.deadline * p.Scale,
-			"repeatWindowMs": c.window * p.Scale, "aimStretch": c.stretch, "worth": c.worth,
+			"repeatWindowMs": c.window * p.Scale * p.Windows, "aimStretch": c.stretch, "worth": c.worth,
 		})
 	}
 	fields := []string{"tps", "concurrent", "x0", "x1"}
@@ -215,7 +216,7 @@
 	for i := range p.Jobs {
 		j := &p.Jobs[i]
 		c := p.class(j.Class)
-		name := fmt.Sprintf("r%d", i)
+		name := j.name(i)
 		job := &standin.Job{
 			Name: name, Class: j.Class, Repeat: c.effect == "retryable" || c.scope == "all", Refused: true, Work: j.Work / 1000,
 			Hint: ms(j.Hint), Slots: j.Slots, Memory: j.Memory, Patient: ms(c.deadline * p.Scale), GiveUp: ms(j.GiveUp),
@@ -275,6 +276,14 @@
 	}
 }
 
+// name is what the ids of the i-th job are made of.
+func (j *Job) name(i int) string {
+	if j.Name > 0 {
+		i = j.Name - 1
+	}
+	return fmt.Sprintf("r%d", i)
+}
+
 // effects counts by key how often work was done that its class lets be done once.
 func (w *World) effects() map[string]int {
 	n := map[string]int{}
@@ -282,7 +291,7 @@
 		j := &w.plan.Jobs[i]
 		key := j.Key
 		if key == "" {
-			key = fmt.Sprintf("kr%d", i)
+			key = "k" + j.name(i)
 		}
 		key = j.Class + "/" + key
 		n[key] = w.fleet.Effects(key)
--- /dev/null
+++ b/internal/sim/scenarios.go
@@ -0,0 +1,194 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+
+	"swiftdeal/internal/standin"
+)
+
+// Scenario is a hard case with a name: a sweep of plans that differ in when exactly things happen.
+type Scenario struct {
+	Name  string
+	About string
+	Plans func() []*Plan
+	// Want, if set, says what must hold of an outcome beside the rules.
+	Want func(*Outcome) string
+}
+
+// calm is a small plan without troubles: peers with room, and a job every gap milliseconds.
+func calm(nodes, peers, jobs int, gap float64, class string) *Plan {
+	p := &Plan{
+		Seed: 1, Nodes: nodes, Sockets: 1024, MemoryMB: 64, Net: Net{Near: 0.2, Far: 2, Jitter: 0.01}, Scale: 0.2, Windows: 1,
+		Copies: true, Tells: true, Late: 300,
+	}
+	for i := range peers {
+		p.Peers = append(p.Peers, Peer{Zone: i % 2, Cell: i % 3, Cores: 4, Slots: 4, Speed: 1, Queue: 3, Refresh: 500, Returns: true})
+	}
+	for i := range jobs {
+		p.Jobs = append(p.Jobs, Job{At: 1000 + gap*float64(i), Class: class, Work: 100, Hint: 100, Slots: 1, Memory: 0.5, Tries: 2, Pause: 20})
+	}
+	return p
+}
+
+// sweep makes n plans; change is told the number of each.
+func sweep(n int, base func() *Plan, change func(p *Plan, i int)) func() []*Plan {
+	return func() (plans []*Plan) {
+		for i := range n {
+			p := base()
+			p.Seed = uint64(i + 1)
+			change(p, i)
+			plans = append(plans, p)
+		}
+		return plans
+	}
+}
+
+// allServed wants every answer to be a served one.
+func allServed(o *Outcome) string {
+	if o.Refused+o.Failed > 0 {
+		return fmt.Sprintf("%d refused and %d failed of jobs that had room", o.Refused, o.Failed)
+	}
+	return ""
+}
+
+// Scenarios are the hard cases.
+var Scenarios = []Scenario{
+	{
+		Name: "drain-and-death", About: "a peer's drain is told and it dies at the same instant, in both orders and a little apart",
+		Plans: sweep(24, func() *Plan { return calm(2, 4, 60, 15, "book-visit") }, func(p *Plan, i int) {
+			p.Faults = []Fault{{Kind: "drain-die", At: 1400, For: 1500, Target: i % 4, Amount: 0.5 + float64(i/4-3)*0.0005}}
+		}),
+	},
+	{
+		Name: "give-up-as-answered", About: "a client gives up as its answer arrives: each tenth of a millisecond round that moment",
+		Plans: sweep(40, func() *Plan { return calm(1, 2, 6, 400, "book-visit") }, func(p *Plan, i int) {
+			for k := range p.Jobs {
+				// Latencies of about 0.2 ms, one each way to the node and the peer, come on top of the work.
+				p.Jobs[k].Shape, p.Jobs[k].GiveUp = standin.Impatient, 99+float64(i)*0.1
+			}
+		}),
+	},
+	{
+		Name: "term-as-watch-returns", About: "SIGTERM while the watch on discovery breaks and is asked for anew",
+		Plans: sweep(30, func() *Plan { return calm(2, 4, 80, 20, "slot-check") }, func(p *Plan, i int) {
+			p.Faults = []Fault{
+				{Kind: "list-down", At: 1500, For: 200},
+				{Kind: "drain", At: 1510, For: 900, Target: 1},
+				{Kind: "term", At: 1490 + 20*float64(i), For: 500, Target: i % 2},
+			}
+		}),
+	},
+	{
+		Name: "restart-between-probes", About: "a peer is replaced by a cold process between two probes, and the list tells late",
+		Plans: sweep(30, func() *Plan { return calm(3, 4, 120, 10, "visit-summary") }, func(p *Plan, i int) {
+			p.Late = 3000
+			p.Faults = []Fault{{Kind: "restart", At: 1300 + 17*float64(i), For: 1 + float64(i%5)*40, Target: i % 4}}
+		}),
+	},
+	{
+		Name: "idle-close-crosses-write", About: "a peer closes an idle connection while a book-visit is written to it",
+		Plans: sweep(40, func() *Plan { return calm(1, 1, 40, 0, "book-visit") }, func(p *Plan, i int) {
+			at := 1000.0
+			for k := range p.Jobs {
+				p.Jobs[k].At, p.Jobs[k].Work, p.Jobs[k].Hint = at, 20, 20
+				at += 21.5 + float64(i)*0.05
+			}
+			p.Faults = []Fault{{Kind: "forget", At: 900, For: 9000, Target: 0, Amount: 1}}
+		}),
+	},
+	{
+		Name: "window-ends-under-second-copy", About: "the time in which repeats are dropped runs out while a second copy is out or about to be",
+		Plans: sweep(40, func() *Plan { return calm(2, 4, 60, 25, "book-visit") }, func(p *Plan, i int) {
+			p.Windows = 0.02 + float64(i)*0.01
+			for k := range p.Jobs {
+				p.Jobs[k].Class = []string{"book-visit", "visit-summary", "send-reminder"}[k%3]
+				p.Jobs[k].Work, p.Jobs[k].Hint = 400, 400
+			}
+			p.Faults = []Fault{
+				{Kind: "vanish", At: 1300, For: 3000, Target: 0}, {Kind: "vanish", At: 1500, For: 2500, Target: 1},
+				{Kind: "reset", At: 1200, For: 2500, Target: 2, Amount: 0.5},
+			}
+		}),
+	},
+	{
+		Name: "nodes-meet-at-cold-peer", About: "several nodes find the same cold peer free while all others are full",
+		Plans: sweep(24, func() *Plan { return calm(2, 4, 200, 8, "visit-summary") }, func(p *Plan, i int) {
+			p.Nodes = 2 + i%3
+			p.Faults = []Fault{{Kind: "restart", At: 1200, For: 100 + 30*float64(i), Target: i % 4}, {Kind: "drain", At: 1600, For: 600, Target: (i + 1) % 4}}
+			p.Late = 100 + 100*float64(i%4)
+		}),
+	},
+	{
+		Name: "id-used-again", About: "an id is used again while the timer of its first request would still have been running",
+		Plans: sweep(12, func() *Plan { return calm(1, 2, 2, 0, "slot-check") }, func(p *Plan, i int) {
+			for k := range p.Jobs { // the class's patience is 1.5 s
+				p.Jobs[k].ID, p.Jobs[k].Tries = "again", 0
+			}
+			p.Jobs[1].At = p.Jobs[0].At + 1500 - 5 - 10*float64(i)
+		}),
+		Want: allServed,
+	},
+	{
+		Name: "charges-cover-old-reports", About: "one node, full peers, reports renewed rarely: own charges must fill the gap",
+		Plans: sweep(6, func() *Plan { return calm(1, 3, 300, 12, "slot-check") }, func(p *Plan, i int) {
+			for k := range p.Peers {
+				p.Peers[k].Queue, p.Peers[k].Refresh, p.Peers[k].Zone = 0, 900+100*float64(i), 0
+			}
+			for k := range p.Jobs {
+				p.Jobs[k].Work, p.Jobs[k].Hint = 150, 150
+			}
+		}),
+		Want: func(o *Outcome) string {
+			if o.TurnedAway > 0 {
+				return fmt.Sprintf("%d tries went to peers without room", o.TurnedAway)
+			}
+			return ""
+		},
+	},
+	{
+		Name: "rush-of-connections", About: "more connections than the node has places for, among them silent ones",
+		Plans: sweep(8, func() *Plan { return calm(1, 4, 120, 4, "slot-check") }, func(p *Plan, i int) {
+			p.Sockets = 128
+			for k := range p.Jobs {
+				p.Jobs[k].Work, p.Jobs[k].Hint = 300, 300
+				if k%3 > 0 {
+					p.Jobs[k].Shape = []standin.Shape{standin.Silent, standin.Pieces, standin.Endless}[(k+i)%3]
+				}
+			}
+		}),
+	},
+	{
+		Name: "term-under-load", About: "SIGTERM while long jobs run and kept connections bring more; SIGKILL follows",
+		Plans: sweep(10, func() *Plan { return calm(2, 5, 250, 12, "visit-summary") }, func(p *Plan, i int) {
+			p.Scale = 0.6
+			for k := range p.Jobs {
+				p.Jobs[k].Work, p.Jobs[k].Hint = 300+float64(k%5)*900, 0
+			}
+			p.Faults = []Fault{{Kind: "term", At: 1500 + 50*float64(i), For: 400, Target: i % 2}}
+		}),
+	},
+	{
+		Name: "regressions", About: "drawn seeds that once broke something",
+		Plans: func() (plans []*Plan) {
+			for _, seed := range regressions {
+				plans = append(plans, Draw(seed))
+			}
+			return plans
+		},
+	},
+}
+
+// regressions are seeds on which the node or this harness was at fault once: the drain whose length hung on the
+// server's pace (65, 144, 176), a killed node that still spoke (601), cold peers given jobs far longer than their
+// class's mean (1160, 1279, 1581).
+var regressions = []uint64{65, 144, 176, 341, 601, 774, 1160, 1279, 1581}
+
+// scenario finds one by its name.
+func scenario(name string) (*Scenario, error) {
+	i := slices.IndexFunc(Scenarios, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return nil, fmt.Errorf("no scenario %q", name)
+	}
+	return &Scenarios[i], nil
+}
--- /dev/null
+++ b/internal/sim/shrink.go
@@ -0,0 +1,109 @@
+package sim
+
+import (
+	"slices"
+)
+
+// Shrink makes a failing plan smaller for as long as fails holds of it: fewer faults, fewer jobs, fewer nodes, plainer
+// jobs. It plays at most the given number of plans and returns the smallest that still fails.
+func Shrink(p *Plan, most int, fails func(*Plan) bool) *Plan {
+	left := most
+	try := func(q *Plan) bool {
+		if left <= 0 || q.check() != nil {
+			return false
+		}
+		left--
+		return fails(q)
+	}
+	for {
+		size := weigh(p)
+		p.Faults = cutList(p.Faults, func(f []Fault) bool { q := *p; q.Faults = f; return try(&q) })
+		p.Jobs = cutJobs(p, try)
+		p = plainer(p, try)
+		if left <= 0 || weigh(p) >= size {
+			return p
+		}
+	}
+}
+
+// weigh is how large a plan is.
+func weigh(p *Plan) (n int) {
+	n = p.Nodes + len(p.Faults)
+	for _, j := range p.Jobs {
+		n += 4
+		if j.Shape != "" {
+			n++
+		}
+		if j.Body > 0 {
+			n++
+		}
+		if j.Tries > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// cutList drops parts of a list, halves first and then ever smaller ones, for as long as what is left will do.
+func cutList[T any](list []T, do func([]T) bool) []T {
+	for size := (len(list) + 1) / 2; size >= 1; {
+		dropped := false
+		for at := 0; at < len(list); {
+			rest := slices.Concat(list[:at], list[min(at+size, len(list)):])
+			if do(rest) {
+				list, dropped = rest, true
+			} else {
+				at += size
+			}
+		}
+		if size == 1 && !dropped {
+			break
+		}
+		if !dropped || size > len(list) {
+			size = max(1, min(size/2, len(list)))
+		}
+		if len(list) == 0 {
+			break
+		}
+	}
+	return list
+}
+
+// cutJobs drops jobs. The names and so the ids of those that stay are kept, by their number in the plan.
+func cutJobs(p *Plan, try func(*Plan) bool) []Job {
+	jobs := slices.Clone(p.Jobs)
+	for i := range jobs {
+		if jobs[i].Name == 0 {
+			jobs[i].Name = i + 1
+		}
+	}
+	return cutList(jobs, func(l []Job) bool { q := *p; q.Jobs = l; return try(&q) })
+}
+
+// plainer takes one oddity after the other out of a plan.
+func plainer(p *Plan, try func(*Plan) bool) *Plan {
+	with := func(change func(q *Plan)) {
+		q := *p
+		q.Jobs, q.Faults, q.Peers = slices.Clone(p.Jobs), slices.Clone(p.Faults), slices.Clone(p.Peers)
+		if change(&q); weigh(&q) < weigh(p) && try(&q) {
+			p = &q
+		}
+	}
+	for p.Nodes > 1 {
+		n := p.Nodes
+		if with(func(q *Plan) { q.Nodes-- }); p.Nodes == n {
+			break
+		}
+	}
+	with(func(q *Plan) {
+		for i := range q.Jobs {
+			q.Jobs[i].Body = 0
+		}
+	})
+	for i := range p.Jobs {
+		with(func(q *Plan) { q.Jobs[i].Shape = "" })
+		with(func(q *Plan) { q.Jobs[i].Tries = 0 })
+		with(func(q *Plan) { q.Jobs[i].Body = 0 })
+	}
+	return p
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -2,77 +2,238 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
 )
 
 var (
-	seedFlag  = flag.Uint64("seed", 0, "play this seed")
-	traceFlag = flag.Bool("trace", false, "print the whole trace")
-	sameFlag  = flag.Int("same", 0, "play the seed so many times and show where the traces part")
+	seedsFlag    = flag.Uint64("seeds", 40, "how many seeds to play")
+	fromFlag     = flag.Uint64("from", 1, "the first of them")
+	stepFlag     = flag.Uint64("step", 1, "from one seed to the next")
+	planFlag     = flag.String("plan", "", "play the plan in this file")
+	seedFlag     = flag.Uint64("seed", 0, "play the plan of this seed")
+	traceFlag    = flag.Bool("trace", false, "print the whole trace, the nodes' logs included")
+	sameFlag     = flag.Int("same", 0, "play the plan so many times and show where the traces part")
+	shrinkFlag   = flag.Int("shrink", 0, "make a failing plan smaller, in so many plays at most")
+	drawFlag     = flag.Bool("draw", false, "print the plan and do not play it")
+	outFlag      = flag.String("out", "", "where a plan is written to")
+	scenarioFlag = flag.String("scenario", "", "play only this scenario")
+	faultsFlag   = flag.Bool("faults", false, "list the kinds of fault")
 )
 
-func TestOne(t *testing.T) {
-	if *seedFlag == 0 {
-		t.Skip()
+// chosen is the plan that the flags name, or nil.
+func chosen(t *testing.T) *Plan {
+	switch {
+	case *planFlag != "":
+		text, err := os.ReadFile(*planFlag)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := Parse(text)
+		if err != nil {
+			t.Fatalf("%s: %v", *planFlag, err)
+		}
+		return p
+	case *seedFlag != 0:
+		return Draw(*seedFlag)
+	}
+	return nil
+}
+
+func write(t *testing.T, p *Plan) {
+	text, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *outFlag == "" {
+		fmt.Println(string(text))
+	} else if err := os.WriteFile(*outFlag, append(text, '\n'), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// tell prints a failure the way a reader needs it: the last steps, and then what broke.
+func tell(o *Outcome, how string) {
+	for _, l := range o.Last {
+		fmt.Println(l)
+	}
+	fmt.Printf("%v\nreplay: %s\n", o, how)
+}
+
+// TestPlan plays the one plan that the flags name.
+func TestPlan(t *testing.T) {
+	if *faultsFlag {
+		fmt.Println(strings.Join(Help(), "\n"))
+		return
+	}
+	p := chosen(t)
+	if p == nil {
+		t.Skip("no -seed and no -plan")
+	}
+	if *drawFlag {
+		write(t, p)
+		return
 	}
 	opt := Options{Keep: 60}
 	if *traceFlag {
 		opt.Trace, opt.Nodes = os.Stdout, os.Stdout
 	}
-	var first []byte
-	for range *sameFlag {
+	if *sameFlag > 0 {
+		same(t, p, *sameFlag)
+		return
+	}
+	out := Run(t, p, opt)
+	if out.Fault == "" {
+		fmt.Println(out)
+		return
+	}
+	if *shrinkFlag > 0 {
+		what, plays := out.Fault, 0
+		p = Shrink(p, *shrinkFlag, func(q *Plan) bool { plays++; return Run(t, q, Options{}).Fault == what })
+		fmt.Printf("%d plays: %d nodes, %d jobs, %d faults left\n", plays, p.Nodes, len(p.Jobs), len(p.Faults))
+		write(t, p)
+		out = Run(t, p, opt)
+	}
+	tell(out, "go run ./tools/sim replay --plan FILE, or --seed N")
+	t.Fail()
+}
+
+// same shows where the traces of one plan part.
+func same(t *testing.T, p *Plan, times int) {
+	var first [][]byte
+	for range times {
 		var b bytes.Buffer
-		Run(t, Draw(*seedFlag), Options{Trace: &b})
+		Run(t, p, Options{Trace: &b})
+		lines := bytes.Split(b.Bytes(), []byte("\n"))
 		if first == nil {
-			first = b.Bytes()
+			first = lines
 		}
-		x, y := bytes.Split(first, []byte("\n")), bytes.Split(b.Bytes(), []byte("\n"))
-		for i := range min(len(x), len(y)) {
-			if !bytes.Equal(x[i], y[i]) {
-				for k := max(0, i-12); k < i; k++ {
-					fmt.Printf("   %s\n", x[k])
-				}
-				for k := i; k < min(i+3, len(x), len(y)); k++ {
-					fmt.Printf("A  %s\nB  %s\n", x[k], y[k])
-				}
-				t.Fatal("the traces part")
+		for i := range min(len(first), len(lines)) {
+			if !bytes.Equal(first[i], lines[i]) {
+				t.Fatalf("%s\nthe traces part:\n%s\n%s", bytes.Join(first[max(0, i-12):i], []byte("\n")), first[i], lines[i])
 			}
 		}
 	}
-	out := Run(t, Draw(*seedFlag), opt)
-	fmt.Println(out)
-	if out.Fault != "" {
-		for _, l := range out.Last {
-			fmt.Println(l)
-		}
-		t.Error(out)
-	}
+	fmt.Printf("%d plays, one trace\n", times)
 }
 
+// TestSeeds plays seeds, each with its own machines, load and faults.
 func TestSeeds(t *testing.T) {
-	for seed := uint64(1); seed <= 40; seed++ {
-		if out := Run(t, Draw(seed), Options{Keep: 20}); out.Fault != "" {
+	start, virtual, steps := time.Now(), time.Duration(0), 0
+	for i := range *seedsFlag {
+		seed := *fromFlag + i**stepFlag
+		out := Run(t, Draw(seed), Options{Keep: 30})
+		virtual, steps = virtual+out.Virtual, steps+out.Steps
+		if out.Fault != "" {
+			tell(out, fmt.Sprintf("go run ./tools/sim replay --seed %d", seed))
 			t.Errorf("seed %d: %v", seed, out)
 		}
 	}
+	fmt.Printf("seeds %d virtual_s %.0f steps %d real_s %.3f\n", *seedsFlag, virtual.Seconds(), steps, time.Since(start).Seconds())
 }
 
-func TestScan(t *testing.T) {
-	for w := range 4 {
-		t.Run("", func(t *testing.T) {
-			t.Parallel()
-			for i := 1 + w; i <= 1600; i += 4 {
-				out := Run(t, Draw(uint64(i)), Options{Keep: 20})
-				if again := Run(t, Draw(uint64(i)), Options{Keep: 20}); again.Hash != out.Hash {
-					t.Errorf("seed %d: %x %x", i, out.Hash, again.Hash)
+// TestScenarios plays the hard cases.
+func TestScenarios(t *testing.T) {
+	for _, s := range Scenarios {
+		if *scenarioFlag != "" && *scenarioFlag != s.Name {
+			continue
+		}
+		t.Run(s.Name, func(t *testing.T) {
+			for i, p := range s.Plans() {
+				if err := p.check(); err != nil {
+					t.Fatalf("plan %d: %v", i, err)
 				}
+				out := Run(t, p, Options{Keep: 30})
 				if out.Fault != "" {
-					fmt.Println(i, out)
+					t.Errorf("plan %d: %v\n%s", i, out, strings.Join(out.Last, "\n"))
+				} else if s.Want != nil {
+					if bad := s.Want(out); bad != "" {
+						t.Errorf("plan %d: %s", i, bad)
+					}
+				}
+				if t.Failed() && *outFlag != "" {
+					write(t, p)
+				}
+				if t.Failed() {
+					return
 				}
 			}
 		})
 	}
 }
+
+// The same plan gives the same trace, on one processor and on four.
+func TestSameTrace(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for seed := uint64(100); seed < 108; seed++ {
+		one := Run(t, Draw(seed), Options{})
+		runtime.GOMAXPROCS(4)
+		four := Run(t, Draw(seed), Options{})
+		runtime.GOMAXPROCS(1)
+		if one.Hash != four.Hash || one.Lines != four.Lines || one.Lines < 100 {
+			t.Errorf("seed %d: %016x of %d lines, %016x of %d", seed, one.Hash, one.Lines, four.Hash, four.Lines)
+		}
+	}
+	if Run(t, Draw(100), Options{}).Hash == Run(t, Draw(101), Options{}).Hash {
+		t.Error("two seeds, one trace: the hash says nothing")
+	}
+}
+
+// A plan that cannot be played is refused, with the place of the fault.
+func TestBadPlans(t *testing.T) {
+	good, err := json.Marshal(Draw(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(good); err != nil {
+		t.Fatal(err)
+	}
+	for want, change := range map[string]func(p *Plan){
+		"nodes": func(p *Plan) { p.Nodes = 0 }, "peers": func(p *Plan) { p.Peers = nil }, "scale": func(p *Plan) { p.Scale = -1 },
+		"faults[0].kind": func(p *Plan) { p.Faults = []Fault{{Kind: "flood"}} }, "windows": func(p *Plan) { p.Windows = 0 },
+		"faults[0].target": func(p *Plan) { p.Faults = []Fault{{Kind: "die", Target: 99}} },
+		"jobs[1].class":    func(p *Plan) { p.Jobs[1].Class = "x" }, "jobs[2].shape": func(p *Plan) { p.Jobs[2].Shape = "round" },
+		"jobs[3]": func(p *Plan) { p.Jobs[3].Work = 0 }, "peers[0]": func(p *Plan) { p.Peers[0].Zone = 7 },
+	} {
+		p := Draw(1)
+		change(p)
+		text, _ := json.Marshal(p)
+		if _, err := Parse(text); err == nil || !strings.HasPrefix(err.Error(), want+":") {
+			t.Errorf("want an error that begins with %s:, got %v", want, err)
+		}
+	}
+	for text, want := range map[string]string{
+		"{\n \"nodes\": 1,\n \"peers\": 7}": "3:", "{\"nodes\": 1,,}": "1:", "{\"colour\": 1}": "1:", "": "1:",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// A failing plan is cut down to what makes it fail.
+func TestShrink(t *testing.T) {
+	p := Draw(3)
+	p.Faults = append(p.Faults, Fault{Kind: "kill", At: 1, For: 1})
+	n := 0
+	small := Shrink(p, 2000, func(q *Plan) bool {
+		n++
+		kill, long := false, false
+		for _, f := range q.Faults {
+			kill = kill || f.Kind == "kill"
+		}
+		for i, j := range q.Jobs {
+			long = long || j.name(i) == "r17"
+		}
+		return kill && long
+	})
+	if len(small.Faults) != 1 || len(small.Jobs) != 1 || small.Nodes != 1 || small.Jobs[0].name(0) != "r17" || n > 400 {
+		t.Errorf("%d plays left %d nodes, %d faults and %d jobs", n, small.Nodes, len(small.Faults), len(small.Jobs))
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -437,6 +437,11 @@
 		}
 	}
 	w.dialings = slices.DeleteFunc(w.dialings, (*dialing).over)
+	if w.steps%64 == 0 && w.out.Fault == "" {
+		if e := w.checker.Stray(w.now(), 500*time.Millisecond); e != nil {
+			w.fault("stray", "a try is still out though its request ended long ago", e.Node, e.Request, e.Peer)
+		}
+	}
 }
 
 func (d *dialing) over() bool {
@@ -509,6 +514,9 @@
 	if f := l.use; m.Ended && f != nil && f.id == m.Request {
 		l.use = nil
 		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: m.Never})
+		if m.Never {
+			w.out.TurnedAway++
+		}
 	}
 	if m.List == nil && !m.Full {
 		return
--- a/internal/standin/peer.go
+++ b/internal/standin/peer.go
@@ -481,7 +481,9 @@
 	if n := int(j.work * 1000); n%7 == 0 { // some answers are long
 		result += strings.Repeat(".", 100*(n%300))
 	}
-	p.Fleet.Watch.Made(p.ID, j.id, result)
+	if j.fate <= 1-p.Trouble.Garble {
+		p.Fleet.Watch.Made(p.ID, j.id, result)
+	}
 	j.c.line(j, "done", fmt.Sprintf(`,"result":%q`, result))
 	j.c.end(j, true)
 }
--- /dev/null
+++ b/tools/sim/main.go
@@ -0,0 +1,313 @@
+// Command sim runs the simulation of internal/sim: seeds on all cores, the replay and the shrinking of a failure, and
+// the proof by planted faults. It builds and runs the package's test binary, in which alone virtual time exists.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"swiftdeal/internal/sim/mutants"
+)
+
+type cli struct {
+	Seeds   seeds   `cmd:"" help:"Play drawn seeds on all cores and check the rules after every step."`
+	Replay  replay  `cmd:"" help:"Play one seed or plan again; the last steps are printed if it fails."`
+	Shrink  shrink  `cmd:"" help:"Make a failing seed or plan as small as it gets and write it down."`
+	Plan    plan    `cmd:"" help:"Print the plan of a seed, as a file that can be changed and replayed."`
+	Faults  faults  `cmd:"" help:"List the kinds of fault that a plan may name."`
+	Mutants mutate  `cmd:"" help:"Plant faults in the product, one at a time, and count the seeds until each is caught."`
+	Cover   coverer `cmd:"" help:"Show the share of the node's statements that seeds and scenarios reach."`
+}
+
+// binary builds the test binary and returns its path; the caller removes its folder.
+func binary(extra ...string) (path string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "swiftdeal-sim-")
+	if err != nil {
+		return "", nil, err
+	}
+	path = filepath.Join(dir, "sim.test")
+	args := append(append([]string{"test", "-c", "-o", path}, extra...), "./internal/sim")
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		os.RemoveAll(dir)
+		return "", nil, fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return path, func() { os.RemoveAll(dir) }, nil
+}
+
+// play runs the test binary. A negative exit is one that ran out of time.
+func play(ctx context.Context, bin string, out io.Writer, procs int, args ...string) error {
+	c := exec.CommandContext(ctx, bin, args...)
+	c.Dir = "internal/sim"
+	c.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(procs), "GOGC=400")
+	c.Stdout, c.Stderr = out, out
+	return c.Run()
+}
+
+type seeds struct {
+	N    int `short:"n" default:"10000" help:"How many."`
+	From int `default:"1" help:"The first one."`
+	Jobs int `short:"j" default:"${cores}" help:"Processes side by side."`
+}
+
+func (s seeds) Run() error {
+	if s.N < 1 || s.From < 1 || s.Jobs < 1 {
+		return errors.New("-n, --from and -j must be above zero")
+	}
+	bin, remove, err := binary()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	start := time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var bad error
+	played, virtual, steps := 0, 0.0, 0
+	for job := range min(s.Jobs, s.N) {
+		n := (s.N - job + s.Jobs - 1) / s.Jobs
+		wg.Go(func() {
+			var out bytes.Buffer
+			err := play(context.Background(), bin, &out, 1, "-test.run", "^TestSeeds$", "-test.timeout", "0",
+				"-seeds", strconv.Itoa(n), "-from", strconv.Itoa(s.From+job), "-step", strconv.Itoa(s.Jobs))
+			mu.Lock()
+			defer mu.Unlock()
+			for in := bufio.NewScanner(&out); in.Scan(); {
+				var a, d int
+				var b, c float64
+				if k, _ := fmt.Sscanf(in.Text(), "seeds %d virtual_s %f steps %d real_s %f", &a, &b, &d, &c); k == 4 {
+					played, virtual, steps = played+a, virtual+b, steps+d
+				} else if t := in.Text(); t != "PASS" {
+					fmt.Println(t)
+				}
+			}
+			if err != nil {
+				bad = fmt.Errorf("some seeds failed: %w", err)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(start).Seconds()
+	fmt.Printf("%d seeds in %.1f s on %d processes: %.1f seeds a second, %.0f virtual seconds in one, %d steps checked\n",
+		played, took, s.Jobs, float64(played)/took, virtual/took, steps)
+	return bad
+}
+
+// which names a plan.
+type which struct {
+	Seed uint64 `xor:"which" required:"" help:"The seed to draw the plan by."`
+	Plan string `xor:"which" required:"" type:"existingfile" help:"A file that holds the plan."`
+}
+
+func (w which) args() []string {
+	if w.Plan != "" {
+		path, err := filepath.Abs(w.Plan)
+		if err != nil {
+			path = w.Plan
+		}
+		return []string{"-plan", path}
+	}
+	return []string{"-seed", strconv.FormatUint(w.Seed, 10)}
+}
+
+func one(args ...string) error {
+	bin, remove, err := binary()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	return play(context.Background(), bin, os.Stdout, runtime.NumCPU(), append([]string{"-test.run", "^TestPlan$"}, args...)...)
+}
+
+type replay struct {
+	which `embed:""`
+	Trace bool `help:"Print the whole trace and the nodes' own logs."`
+	Same  int  `help:"Play it so many times and show where two traces part."`
+}
+
+func (r replay) Run() error {
+	args := r.args()
+	if r.Trace {
+		args = append(args, "-trace")
+	}
+	if r.Same > 0 {
+		args = append(args, "-same", strconv.Itoa(r.Same))
+	}
+	return one(args...)
+}
+
+type shrink struct {
+	which `embed:""`
+	Plays int    `default:"2000" help:"The most plays that it may take."`
+	Out   string `required:"" help:"The file that the small plan is written to."`
+}
+
+func (s shrink) Run() error {
+	path, err := filepath.Abs(s.Out)
+	if err != nil {
+		return err
+	}
+	return one(append(s.args(), "-shrink", strconv.Itoa(s.Plays), "-out", path)...)
+}
+
+type plan struct {
+	Seed uint64 `arg:"" help:"The seed."`
+}
+
+func (p plan) Run() error { return one("-seed", strconv.FormatUint(p.Seed, 10), "-draw") }
+
+type faults struct{}
+
+func (faults) Run() error { return one("-faults") }
+
+type mutate struct {
+	Only []string `help:"Only these, by name."`
+	Most int      `default:"400" help:"Seeds to play before a mutant counts as missed."`
+}
+
+func (m mutate) Run() error {
+	root, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	missed := 0
+	fmt.Println("| mutant | offends | caught by |\n| --- | --- | --- |")
+	lines := make([]string, len(mutants.All))
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, runtime.NumCPU())
+	for i := range mutants.All {
+		mu := &mutants.All[i]
+		if len(m.Only) > 0 && !strings.Contains(","+strings.Join(m.Only, ",")+",", ","+mu.Name+",") {
+			continue
+		}
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			lines[i] = m.hunt(mu, root)
+		})
+	}
+	wg.Wait()
+	for i, l := range lines {
+		if l == "" {
+			continue
+		}
+		fmt.Printf("| %s | %s | %s |\n", mutants.All[i].Name, mutants.All[i].Breaks, l)
+		if strings.HasPrefix(l, "MISSED") {
+			missed++
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d mutants were missed", missed)
+	}
+	return nil
+}
+
+// hunt plays scenarios and then seeds on one mutant until something breaks.
+func (m mutate) hunt(mu *mutants.Mutant, root string) string {
+	dir, err := os.MkdirTemp("", "swiftdeal-mutant-")
+	if err != nil {
+		return "MISSED: " + err.Error()
+	}
+	defer os.RemoveAll(dir)
+	overlay, err := mu.Overlay(root, dir)
+	if err != nil {
+		return "MISSED: " + err.Error()
+	}
+	bin, remove, err := binary("-overlay", overlay)
+	if err != nil {
+		return "MISSED: " + err.Error()
+	}
+	defer remove()
+	var by []string
+	if what := caught(bin, "^TestScenarios$"); what != "" {
+		by = append(by, "scenario "+what)
+	}
+	played := 0
+	for _, n := range []int{5, 20, 75, 300, 1200, 5000} {
+		if played >= m.Most {
+			break
+		}
+		n = min(n, m.Most-played)
+		if what := caught(bin, "^TestSeeds$", "-from", strconv.Itoa(played+1), "-seeds", strconv.Itoa(n), "-test.failfast"); what != "" {
+			by = append(by, what)
+			break
+		}
+		played += n
+	}
+	if len(by) == 0 {
+		return fmt.Sprintf("MISSED by the scenarios and %d seeds", played)
+	}
+	return strings.Join(by, "; ")
+}
+
+// caught runs a test and says what it found first, or nothing if it passed.
+func caught(bin, test string, args ...string) string {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer stop()
+	var out bytes.Buffer
+	err := play(ctx, bin, &out, 1, append([]string{"-test.run", test}, args...)...)
+	if err == nil {
+		return ""
+	}
+	if ctx.Err() != nil {
+		return "time running out"
+	}
+	text := out.String()
+	if at := strings.Index(text, "--- FAIL: TestScenarios/"); at >= 0 {
+		name, _, _ := strings.Cut(text[at+len("--- FAIL: TestScenarios/"):], " ")
+		return name
+	}
+	if at := strings.Index(text, "    sim_test.go"); at >= 0 {
+		line, _, _ := strings.Cut(text[at:], "\n")
+		if _, rest, ok := strings.Cut(line, ": seed "); ok {
+			number, what, _ := strings.Cut(rest, ": ")
+			what, _, _ = strings.Cut(what, " at ")
+			return "seed " + number + " (" + what + ")"
+		}
+	}
+	if strings.Contains(text, "panic:") || strings.Contains(text, "fatal error:") {
+		return "a crash"
+	}
+	return "a failure: " + strings.TrimSpace(text[max(0, len(text)-100):])
+}
+
+type coverer struct {
+	N int `short:"n" default:"300" help:"Seeds to play, beside the scenarios."`
+}
+
+func (c coverer) Run() error {
+	packages := "swiftdeal/internal/admit,swiftdeal/internal/route,swiftdeal/internal/send,swiftdeal/internal/relay," +
+		"swiftdeal/internal/takein,swiftdeal/internal/upstream,swiftdeal/internal/node"
+	bin, remove, err := binary("-cover", "-coverpkg", packages)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	profile := filepath.Join(filepath.Dir(bin), "cover.out")
+	if err := play(context.Background(), bin, os.Stdout, runtime.NumCPU(), "-test.run", "^Test(Seeds|Scenarios)$", "-test.timeout", "0",
+		"-seeds", strconv.Itoa(c.N), "-test.coverprofile", profile); err != nil {
+		return err
+	}
+	out, err := exec.Command("go", "tool", "cover", "-func", profile).Output()
+	fmt.Print(string(out))
+	return err
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("sim"), kong.Description("The node on a virtual clock with seeded faults. Run it from the top of the repository."),
+		kong.UsageOnError(), kong.Vars{"cores": strconv.Itoa(runtime.NumCPU())})
+	ctx.FatalIfErrorf(ctx.Run())
+}
