--- /dev/null
+++ b/internal/node/standin_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
+	"swiftdeal/internal/rules"
+	"swiftdeal/internal/standin"
+)
+
+// reach sends all clients to one node, and tells the checker what stand-ins see. It is called under the host's lock.
+type reach struct {
+	s     *standin.Sockets
+	addr  string
+	start time.Time
+	rules *rules.Checker
+	bad   []rules.Violation
+	ended chan struct{}
+}
+
+func (r *reach) tell(e rules.Event) {
+	e.At = time.Since(r.start)
+	r.bad = append(r.bad, r.rules.Step(e)...)
+}
+
+func (r *reach) Node(*standin.Job, int, func(string) bool) string { return "n" }
+func (r *reach) Dial(_ string, _ int, h standin.Opener)           { r.s.Dial(r.addr, h) }
+func (r *reach) Job(peer, id string, _ float64) {
+	r.tell(rules.Event{Kind: rules.Sent, Node: "n", Request: id, Peer: peer, Try: len(id) * 7919})
+}
+func (r *reach) Made(peer, id, result string) {
+	r.tell(rules.Event{Kind: rules.Made, Request: id, Peer: peer, Result: result})
+}
+func (r *reach) Began(_, id string, until time.Time, _ string) bool {
+	r.tell(rules.Event{Kind: rules.Taken, Node: "n", Request: id, Until: until.Sub(r.start)})
+	return true
+}
+func (r *reach) Ended(_, id string, status int, body string) {
+	e := rules.Event{Kind: rules.Answered, Node: "n", Request: id, Verdict: rules.Failed, Result: body}
+	if status == 200 {
+		e.Verdict = rules.Served
+	} else if status <= 0 {
+		e.Kind = rules.Dropped
+	}
+	r.tell(e)
+	r.ended <- struct{}{}
+}
+func (r *reach) Left(string, string) { r.ended <- struct{}{} }
+
+// The stand-ins of the simulation, and the rules, hold on real sockets as well: every job is answered once, with what
+// a peer made for it.
+func TestStandinsOnSockets(t *testing.T) {
+	s := standin.NewSockets()
+	r := &reach{s: s, start: time.Now(), ended: make(chan struct{}, 100)}
+	r.rules = rules.New(rules.Config{Classes: []balance.Class{{Effect: balance.Safe}}, AnswerGrace: time.Hour, SecondCopies: true})
+	fleet := standin.NewFleet(s, r, map[string]standin.Class{"job": {}})
+	disco := &standin.Discovery{Clock: s}
+	for i := range 3 {
+		p := &standin.Peer{Fleet: fleet, ID: fmt.Sprint("p", i), Zone: "a", Cell: "1", Cores: 8, Slots: 8, Memory: 8, Speed: 1, Queue: 99, Refresh: 50 * time.Millisecond, Progress: time.Hour}
+		p.Seed(1)
+		s.Do(func() {
+			p.Start(false)
+			r.tell(rules.Event{Kind: rules.PeerUp, Peer: p.ID, Zone: "a", Cell: "1", Capacity: 8})
+			r.tell(rules.Event{Kind: rules.Told, Node: "n", Peer: p.ID, State: balance.Ready, Zone: "a", Cell: "1"})
+		})
+		addr, err := s.Listen(p.Open)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Do(func() { disco.Set(standin.Entry{ID: p.ID, Addr: addr, Zone: "a", Cell: 1, State: "in_service"}) })
+	}
+	at, err := s.Listen(disco.Front().Open)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = ln.Addr().String()
+	text, _ := json.Marshal(map[string]any{"listen": r.addr, "discovery": at, "seed": "1", "settings": map[string]any{
+		"az": "a", "discovery": "on_request", "familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": true},
+		"limits":     map[string]any{"cancelling": true, "probing": true, "maxAttempts": 4, "dialTimeoutMs": 5000},
+		"loadReport": map[string]any{"fields": []string{"x0", "x1"}, "how": "pull"},
+		"profiles":   []any{map[string]any{"name": "job", "aimMs": 3600000, "deadlineMs": 3600000, "effect": "retryable", "worth": 1}},
+	}})
+	c, err := config.Load(func(k string) string { return map[string]string{"GW_CONFIG": "x"}[k] }, func(string) ([]byte, error) { return text, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Limits.DrainEarly, c.Limits.DrainAccept, c.Limits.DrainIdle = 0, time.Millisecond, time.Millisecond
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error, 1)
+	go func() { over <- Serve(ctx, machine.Real(), c, ln, slog.New(slog.DiscardHandler), nil) }()
+	clients := standin.NewClients(s, r, r, 1)
+	shapes := []standin.Shape{standin.Plain, standin.Pieces, standin.Chunked}
+	s.Do(func() {
+		for i := range 60 {
+			clients.Ask(&standin.Job{Name: fmt.Sprint("j", i), Class: "job", Work: 0.002, Slots: 1, Patient: time.Hour, Body: 500 * i, Shape: shapes[i%3]})
+		}
+	})
+	for range 60 {
+		<-r.ended
+	}
+	stop()
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+	s.Close()
+	if clients.Served != 60 || clients.Lost != 0 || clients.Open != 0 || len(r.bad) > 0 {
+		t.Errorf("%d served, %d lost, %d open, %v", clients.Served, clients.Lost, clients.Open, r.bad)
+	}
+}
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -61,6 +61,8 @@
 		{watching, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)`, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", 0*c.version)`}}},
 	{"cold-budget-ignored", "rule 4, nodes that meet at a cold peer", []Change{
 		{balancer, "if f >= 1 || b.s.FallMultiple <= 0 {", "if f >= 0 || b.s.FallMultiple <= 0 {"}}},
+	{"hint-ignored-when-cold", "rule 4, jobs far longer than their class's mean", []Change{
+		{balancer, "max(b.run[r.Class], r.Work.Seconds()/b.usual)", "b.run[r.Class]"}}},
 	{"restart-unheard", "rule 4, a restart between probes", []Change{
 		{state, "	} else if m.Started > w.Started { // restarted", "	} else if m.Started = 0; false { // restarted"},
 		{balancer, "			w.Started = now\n", ""}}},
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -228,6 +228,9 @@
 			if job.Key = j.Key; job.Key == "" {
 				job.Key = "k" + name
 			}
+			if c.scope == "all" { // where all peers drop repeats, clients repeat for as long as they do
+				job.Within = ms(c.window * p.Scale * p.Windows)
+			}
 		}
 		last = max(last, j.At+c.deadline*p.Scale)
 		w.at(ms(j.At), func() { w.clients.Ask(job) })
--- /dev/null
+++ b/internal/standin/sockets.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Sockets hosts stand-ins on loopback, in real time. All calls into stand-ins are made one at a time.
+type Sockets struct {
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	lns    []net.Listener
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewSockets returns a host.
+func NewSockets() *Sockets { return &Sockets{open: map[net.Conn]bool{}} }
+
+// Do calls f while no stand-in is being called.
+func (s *Sockets) Do(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// Now implements Clock.
+func (s *Sockets) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (s *Sockets) After(d time.Duration, f func()) func() {
+	t := time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.closed {
+			f()
+		}
+	})
+	return func() { t.Stop() }
+}
+
+// Listen has a stand-in take connections at a new address on loopback.
+func (s *Sockets) Listen(open func(Conn) Handler) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lns = append(s.lns, ln)
+	s.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.Do(func() {
+				sc := s.hold(c)
+				if h := open(sc); h == nil {
+					sc.Reset()
+				} else {
+					s.read(sc, h)
+				}
+			})
+		}
+	})
+	return ln.Addr().String(), nil
+}
+
+// Dial opens a connection for a stand-in; Up or Gone follows.
+func (s *Sockets) Dial(addr string, h Opener) {
+	s.wg.Go(func() {
+		c, err := net.DialTimeout("tcp", addr, 5*time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err != nil || s.closed {
+			if c != nil {
+				c.Close()
+			}
+			h.Gone(true)
+			return
+		}
+		sc := s.hold(c)
+		s.read(sc, h)
+		h.Up(sc)
+	})
+}
+
+// Close ends all that is open and waits until nothing of it runs.
+func (s *Sockets) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for _, ln := range s.lns {
+		ln.Close()
+	}
+	for c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// socket is a stand-in's end of a real connection. Writes go through a goroutine, so that a stand-in never waits.
+type socket struct {
+	s    *Sockets
+	c    net.Conn
+	out  []byte
+	end  bool
+	more *sync.Cond
+}
+
+// hold takes a connection in; s.mu is held.
+func (s *Sockets) hold(c net.Conn) *socket {
+	sc := &socket{s: s, c: c, more: sync.NewCond(&s.mu)}
+	s.open[c] = true
+	s.wg.Go(sc.write)
+	return sc
+}
+
+// write sends what the stand-in has written.
+func (k *socket) write() {
+	k.s.mu.Lock()
+	defer k.s.mu.Unlock()
+	for {
+		for len(k.out) == 0 && !k.end && k.s.open[k.c] {
+			k.more.Wait()
+		}
+		if p := k.out; len(p) > 0 && k.s.open[k.c] {
+			k.out = nil
+			k.s.mu.Unlock()
+			_, err := k.c.Write(p)
+			k.s.mu.Lock()
+			if err == nil {
+				continue
+			}
+		}
+		k.c.Close()
+		delete(k.s.open, k.c)
+		return
+	}
+}
+
+// read passes what comes on to the stand-in.
+func (s *Sockets) read(k *socket, h Handler) {
+	s.wg.Go(func() {
+		buf := make([]byte, 32<<10)
+		for {
+			n, err := k.c.Read(buf)
+			s.mu.Lock()
+			if n > 0 && !s.closed {
+				h.Data(buf[:n])
+			}
+			if err != nil {
+				delete(s.open, k.c)
+				k.c.Close()
+				k.more.Broadcast()
+				if !s.closed {
+					h.Gone(true)
+				}
+				s.mu.Unlock()
+				return
+			}
+			s.mu.Unlock()
+		}
+	})
+}
+
+// Write implements Conn.
+func (k *socket) Write(p []byte, _ *Mark) {
+	k.out = append(k.out, p...)
+	k.more.Broadcast()
+}
+
+// Close implements Conn.
+func (k *socket) Close() {
+	k.end = true
+	k.more.Broadcast()
+}
+
+// Reset implements Conn.
+func (k *socket) Reset() {
+	if t, ok := k.c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	k.c.Close()
+	delete(k.s.open, k.c)
+	k.more.Broadcast()
+}
