Simulation: heavy tails, and a scenario of more requests than a node has memory for

Change: a fault that makes an eighth of a class's jobs 5 to 30 times as long as their hints, and a check that a node with 32 MB never holds more than its 64 requests.

--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -304,6 +304,16 @@
 	return j != nil && !j.over
 }
 
+// OwedSince counts the requests that a node owes an answer and took before the given time.
+func (c *Checker) OwedSince(node string, before time.Duration) (n int) {
+	for _, j := range c.due {
+		if j.node == node && !j.over && j.taken < before {
+			n++
+		}
+	}
+	return n
+}
+
 func key(e Event) [2]string { return [2]string{e.Node, e.Request} }
 
 func (c *Checker) peer(id string) *peer {
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"swiftdeal/internal/standin"
 )
 
@@ -103,6 +105,9 @@
 				w.fronts(func(f *standin.Front) { f.Delay = ms(4000 * fault.Amount) })
 			},
 			end: func(w *World, _ *Fault) { w.fronts(func(f *standin.Front) { f.Delay = 0 }) }},
+		"heavy-tail": {on: onAll, means: "an eighth of one class's jobs, which the amount picks, are 5 to 30 times as long as their hints say",
+			begin: func(w *World, f *Fault) { w.heavy = f },
+			end:   func(w *World, _ *Fault) { w.heavy = nil }},
 		"move": {on: onAll, means: "discovery moves: SIGHUP with its new address, the old one ends 1.5 s later",
 			begin: func(w *World, _ *Fault) { w.move() }},
 		"reload": {on: onNode, means: "SIGHUP with an unchanged file",
@@ -135,6 +140,16 @@
 	return lines
 }
 
+// lengthen makes a job longer than its hint while a heavy tail is on.
+func (w *World) lengthen(j *standin.Job) {
+	if w.heavy == nil || j.Class != classPlans[int(w.heavy.Amount*1000)%len(classPlans)].name {
+		return
+	}
+	if h := xxhash.Sum64String(j.Name); h%8 == 0 {
+		j.Work *= float64(5 + h/8%26)
+	}
+}
+
 // strike plans a fault.
 func (w *World) strike(f *Fault) {
 	k := faults[f.Kind]
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -23,6 +23,7 @@
 	Virtual                 time.Duration
 	Served, Refused, Failed int // answers
 	Probes                  int
+	MostOpen                int // requests that one node held at once, but for those just come
 	TurnedAway              int // tries that a peer had no room for
 	Violations              []rules.Violation
 
@@ -233,7 +234,10 @@
 			}
 		}
 		last = max(last, j.At+c.deadline*p.Scale)
-		w.at(ms(j.At), func() { w.clients.Ask(job) })
+		w.at(ms(j.At), func() {
+			w.lengthen(job)
+			w.clients.Ask(job)
+		})
 	}
 	for _, f := range p.Faults {
 		last = max(last, f.At+f.For)
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -134,7 +134,8 @@
 			p.Faults = []Fault{{Kind: "restart", At: 1200, For: 100 + 30*float64(i), Target: i % 4}, {Kind: "drain", At: 1600, For: 600, Target: (i + 1) % 4}}
 			p.Late = 50 + 50*float64(i%4)
 			for k := range p.Jobs {
-				p.Jobs[k].Work, p.Jobs[k].Hint, p.Jobs[k].Slots = 500+50*float64(i%5), 500+50*float64(i%5), float64(1+i%2)
+				// Without hints the nodes cannot tell that the cold peer is too slow, and only its budget protects it.
+				p.Jobs[k].Work, p.Jobs[k].Hint, p.Jobs[k].Slots = 300+50*float64(i%5), 0, float64(1+i%2)
 			}
 		}),
 	},
@@ -168,6 +169,22 @@
 			return ""
 		},
 	},
+	{
+		Name: "more-requests-than-memory", About: "more requests at once than the node has memory for: those beyond are refused at once",
+		Plans: sweep(4, func() *Plan { return calm(1, 4, 300, 1, "slot-check") }, func(p *Plan, i int) {
+			p.MemoryMB, p.Scale = 32, 2
+			for k := range p.Jobs {
+				p.Jobs[k].Work, p.Jobs[k].Hint, p.Jobs[k].Body = 900, 900, 30000
+				p.Jobs[k].Tries = i
+			}
+		}),
+		Want: func(o *Outcome) string {
+			if o.MostOpen > 64 || o.MostOpen < 50 { // 24 MB, a third of it for bodies and results of 64 KiB each
+				return fmt.Sprintf("%d requests were open at once, 64 are the limit", o.MostOpen)
+			}
+			return ""
+		},
+	},
 	{
 		Name: "rush-of-connections", About: "more connections than the node has places for, among them silent ones",
 		Plans: sweep(8, func() *Plan { return calm(1, 4, 120, 4, "slot-check") }, func(p *Plan, i int) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -66,6 +66,7 @@
 	classes  map[string]int
 	settings []config.Config
 
+	heavy   *Fault
 	settled bool // the list holds all peers
 
 	log   recorder
@@ -439,6 +440,11 @@
 		}
 	}
 	w.dialings = slices.DeleteFunc(w.dialings, (*dialing).over)
+	if w.steps%16 == 0 {
+		for _, n := range w.nodes {
+			w.out.MostOpen = max(w.out.MostOpen, w.checker.OwedSince(n.name, w.now()-5*time.Millisecond))
+		}
+	}
 	if w.steps%64 == 0 && w.out.Fault == "" {
 		if e := w.checker.Stray(w.now(), 500*time.Millisecond); e != nil {
 			w.fault("stray", "a try is still out though its request ended long ago", e.Node, e.Request, e.Peer)
