--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/cost"
 	"swiftdeal/internal/machine"
 	"swiftdeal/internal/node"
 )
@@ -25,7 +26,10 @@
 type cli struct {
 	Serve   serve `cmd:"" help:"Run a node until SIGTERM, then drain it."`
 	Check   check `cmd:"" help:"Check the configuration and say what follows from it."`
+	Cost    costs `cmd:"" help:"Count what requests cost a node, against a recorded baseline."`
 	Version about `cmd:"" help:"Print the version."`
+
+	CostNode costNode `cmd:"" hidden:""`
 }
 
 type serve struct {
@@ -34,6 +38,13 @@
 
 type check struct{}
 
+type costs struct {
+	Check  string `placeholder:"FILE" help:"Fail if a count is more than 5% above the baseline in this file."`
+	Record string `placeholder:"FILE" help:"Write the counts to this file as the new baseline."`
+}
+
+type costNode struct{}
+
 type about struct{}
 
 func (s serve) Run() error {
@@ -86,6 +97,16 @@
 	return nil
 }
 
+func (c costs) Run() error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return cost.Report(program, os.Stdout, c.Check, c.Record)
+}
+
+func (costNode) Run() error { return cost.Child(os.Getenv, os.Stdin, os.Stdout) }
+
 func (about) Run() error {
 	fmt.Println("swiftdeal", version)
 	return nil
--- /dev/null
+++ b/internal/cost/driver.go
@@ -0,0 +1,250 @@
+package cost
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"swiftdeal/internal/standin"
+)
+
+// Figures are the counts of one case, per request.
+type Figures struct {
+	Case   string  `json:"case"`
+	Allocs float64 `json:"allocs"`
+	Bytes  float64 `json:"bytes"`
+}
+
+// bench is a node in a process of its own between stand-ins in this one.
+type bench struct {
+	sockets *standin.Sockets
+	clients *standin.Clients
+	peer    *standin.Peer
+	node    *exec.Cmd
+	in      io.WriteCloser
+	out     *bufio.Scanner
+	addr    string
+	dir     string
+	asked   int
+	ended   chan string
+}
+
+// quiet is a watcher that tells the end of each request.
+type quiet struct{ b *bench }
+
+func (quiet) Job(string, string, float64)                   {}
+func (quiet) Made(string, string, string)                   {}
+func (quiet) Began(string, string, time.Time, string) bool  { return true }
+func (quiet) Left(string, string)                           {}
+func (q quiet) Ended(_, id string, status int, body string) { q.b.ended <- fmt.Sprint(status) }
+
+// Node implements standin.Reach.
+func (b *bench) Node(*standin.Job, int, func(string) bool) string { return "n" }
+
+// Dial implements standin.Reach.
+func (b *bench) Dial(_ string, _ int, h standin.Opener) { b.sockets.Dial(b.addr, h) }
+
+// start starts the stand-ins and the child.
+func start(program string) (b *bench, err error) {
+	b = &bench{sockets: standin.NewSockets(), ended: make(chan string, 16)}
+	defer func() {
+		if err != nil {
+			b.stop()
+		}
+	}()
+	fleet := standin.NewFleet(b.sockets, quiet{b}, map[string]standin.Class{})
+	for _, c := range classes {
+		fleet.Classes[c] = standin.Class{}
+	}
+	b.peer = &standin.Peer{
+		Fleet: fleet, ID: "p", Zone: "a", Cell: "1", Cores: 8, Slots: 8, Memory: 8, Speed: 1, Queue: 9, Refresh: time.Hour, Progress: time.Hour, Result: -1,
+	}
+	b.peer.Seed(1)
+	b.sockets.Do(func() { b.peer.Start(false) })
+	at, err := b.sockets.Listen(b.peer.Open)
+	if err != nil {
+		return b, err
+	}
+	disco := &standin.Discovery{Clock: b.sockets}
+	b.sockets.Do(func() {
+		disco.Set(standin.Entry{ID: "p", Addr: at, Zone: "a", Cell: 1, State: "in_service"})
+	})
+	list, err := b.sockets.Listen(disco.Front().Open)
+	if err != nil {
+		return b, err
+	}
+	// A free port, which the child takes: it is asked for by listening and closing.
+	free, err := b.sockets.Free()
+	if err != nil {
+		return b, err
+	}
+	b.addr = free
+	if b.dir, err = os.MkdirTemp("", "swiftdeal-cost-"); err != nil {
+		return b, err
+	}
+	var profiles []any
+	for _, c := range classes {
+		effect := "dedup"
+		if c == "slot-check" {
+			effect = "retryable"
+		}
+		profiles = append(profiles, map[string]any{"name": c, "aimMs": 3600000, "deadlineMs": 3600000, "effect": effect, "dedupScope": "all", "repeatWindowMs": 25000, "worth": 1})
+	}
+	text, err := json.Marshal(map[string]any{"listen": b.addr, "discovery": list, "seed": "1",
+		"known": map[string]any{"version": 1, "full": true, "servers": []any{map[string]any{"id": "p", "addr": at, "zone": "a", "cell": 1, "state": "in_service"}}},
+		"settings": map[string]any{
+			"az": "a", "discovery": "on_request", "familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": true},
+			"limits":     map[string]any{"cancelling": true, "probing": false, "maxAttempts": 4, "dialTimeoutMs": 60000},
+			"loadReport": map[string]any{"fields": []string{"x0", "x1"}, "how": "pull"}, "profiles": profiles,
+		}})
+	if err != nil {
+		return b, err
+	}
+	path := filepath.Join(b.dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return b, err
+	}
+	b.node = exec.Command(program, ChildCommand)
+	b.node.Env = append(slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, "GW_") || strings.HasPrefix(v, "GO") }), "GW_CONFIG="+path)
+	b.node.Stderr = os.Stderr
+	if b.in, err = b.node.StdinPipe(); err != nil {
+		return b, err
+	}
+	out, err := b.node.StdoutPipe()
+	if err != nil {
+		return b, err
+	}
+	b.out = bufio.NewScanner(out)
+	if err := b.node.Start(); err != nil {
+		return b, err
+	}
+	b.clients = standin.NewClients(b.sockets, quiet{b}, b, 1)
+	if _, err := b.read("read"); err != nil { // by then it listens
+		return b, err
+	}
+	return b, nil
+}
+
+// stop ends the child and the stand-ins.
+func (b *bench) stop() {
+	if b.node != nil && b.node.Process != nil {
+		b.in.Close()
+		b.node.Wait()
+	}
+	b.sockets.Close()
+	os.RemoveAll(b.dir)
+}
+
+// read asks the child for its counters.
+func (b *bench) read(what string) (c Counters, err error) {
+	if _, err := fmt.Fprintln(b.in, what); err != nil {
+		return c, err
+	}
+	if !b.out.Scan() {
+		return c, fmt.Errorf("the node has ended: %w", b.out.Err())
+	}
+	return c, json.Unmarshal(b.out.Bytes(), &c)
+}
+
+// rest waits until two readings agree, and returns the second. What a reading itself allocates is told apart from
+// what the node does by reading three times: the last two must differ by as little as the readings before.
+func (b *bench) rest(what string) (c Counters, err error) {
+	var before Counters
+	var step uint64
+	for i := 0; ; i++ {
+		if c, err = b.read(what); err != nil {
+			return c, err
+		}
+		if d := c.Mallocs - before.Mallocs; i > 1 && d == step || i > 200 {
+			return c, nil
+		} else {
+			step = d
+		}
+		before = c
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ask plays n requests of a case, one after the other.
+func (b *bench) ask(c *Case, n int) error {
+	want := "200"
+	if c.Course == Refused {
+		want = "404"
+	}
+	for range n {
+		b.asked++
+		j := c.job(b.asked)
+		b.sockets.Do(func() { b.clients.Ask(j) })
+		if got := <-b.ended; got != want {
+			return fmt.Errorf("%s: answered %s", c.Name, got)
+		}
+	}
+	return nil
+}
+
+// Batches and their sizes.
+const (
+	warmUp  = 60
+	batches = 5
+	batch   = 60
+)
+
+// Measure counts one case after the other in the given program, which must run Child under ChildCommand. told is
+// called with each as it is done.
+func Measure(program string, cases []Case, told func(Figures)) (list []Figures, err error) {
+	b, err := start(program)
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	for i := range cases {
+		c := &cases[i]
+		b.sockets.Do(func() {
+			if b.peer.Result = c.Result; b.peer.Result == 0 {
+				b.peer.Result = -1
+			}
+		})
+		if err := b.ask(c, warmUp); err != nil {
+			return list, err
+		}
+		var allocs, bytes []float64
+		for range batches {
+			if _, err := b.rest("collect"); err != nil {
+				return list, err
+			}
+			if err := b.ask(c, 10); err != nil { // fills the pools again
+				return list, err
+			}
+			from, err := b.rest("read")
+			if err != nil {
+				return list, err
+			}
+			if err := b.ask(c, batch); err != nil {
+				return list, err
+			}
+			to, err := b.rest("read")
+			if err != nil {
+				return list, err
+			}
+			allocs = append(allocs, float64(to.Mallocs-from.Mallocs)/batch)
+			bytes = append(bytes, float64(to.Bytes-from.Bytes)/batch)
+		}
+		slices.Sort(allocs)
+		slices.Sort(bytes)
+		f := Figures{Case: c.Name, Allocs: round(allocs[batches/2]), Bytes: round(bytes[batches/2])}
+		list = append(list, f)
+		if told != nil {
+			told(f)
+		}
+	}
+	return list, nil
+}
+
+func round(v float64) float64 { return float64(int(v*10+0.5)) / 10 }
--- /dev/null
+++ b/internal/cost/gate.go
@@ -0,0 +1,119 @@
+package cost
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+)
+
+// Tolerance is by what share a count may be above its baseline.
+const Tolerance = 0.05
+
+// Baseline is a recorded set of counts.
+type Baseline struct {
+	Go      string    `json:"go"`   // the version of Go: others allocate otherwise
+	Arch    string    `json:"arch"` // GOOS/GOARCH
+	Figures []Figures `json:"figures"`
+}
+
+// Finding is a count that differs from its baseline by more than the tolerance.
+type Finding struct {
+	Case, Figure string
+	Old, New     float64
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%s: %s: %.1f -> %.1f (%+.1f%%)", f.Case, f.Figure, f.Old, f.New, 100*(f.New/f.Old-1))
+}
+
+// Compare returns the counts that are worse than the baseline's, and those that are better; both by more than the
+// tolerance. A case that the baseline lacks, or that was not measured, is an error.
+func Compare(old Baseline, now []Figures) (worse, better []Finding, err error) {
+	was := map[string]Figures{}
+	for _, f := range old.Figures {
+		was[f.Case] = f
+	}
+	for _, f := range now {
+		o, ok := was[f.Case]
+		if !ok {
+			return nil, nil, fmt.Errorf("%s: not in the baseline", f.Case)
+		}
+		delete(was, f.Case)
+		for _, p := range []struct {
+			name     string
+			old, new float64
+		}{{"allocations", o.Allocs, f.Allocs}, {"bytes", o.Bytes, f.Bytes}} {
+			switch finding := (Finding{f.Case, p.name, p.old, p.new}); {
+			case p.new > p.old*(1+Tolerance):
+				worse = append(worse, finding)
+			case p.new < p.old*(1-Tolerance):
+				better = append(better, finding)
+			}
+		}
+	}
+	for name := range was {
+		return nil, nil, fmt.Errorf("%s: in the baseline, but not measured", name)
+	}
+	return worse, better, nil
+}
+
+// Report measures all cases in a program, prints them as a table, checks them against a baseline and records them as
+// one, as asked; an empty name leaves out either.
+func Report(program string, out io.Writer, check, record string) error {
+	var base Baseline
+	if check != "" {
+		text, err := os.ReadFile(check)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(text, &base); err != nil {
+			return fmt.Errorf("%s: %w", check, err)
+		}
+	}
+	fmt.Fprintln(out, "| case | allocations | bytes |\n| --- | --- | --- |")
+	now, err := Measure(program, Cases(), func(f Figures) {
+		fmt.Fprintf(out, "| %s | %.1f | %.0f |\n", f.Case, f.Allocs, f.Bytes)
+	})
+	if err != nil {
+		return err
+	}
+	here := Baseline{Go: runtime.Version(), Arch: runtime.GOOS + "/" + runtime.GOARCH, Figures: now}
+	if record != "" {
+		text, err := json.MarshalIndent(here, "", " ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(record, append(text, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if check == "" {
+		return nil
+	}
+	again := "to record anew: swiftdeal cost --record " + check
+	if base.Go != here.Go || base.Arch != here.Arch {
+		fmt.Fprintf(out, "the baseline is of %s on %s, this is %s on %s: not compared; %s\n", base.Go, base.Arch, here.Go, here.Arch, again)
+		return nil
+	}
+	worse, better, err := Compare(base, now)
+	if err != nil {
+		return fmt.Errorf("%w; %s", err, again)
+	}
+	for _, f := range better {
+		fmt.Fprintln(out, "better:", f)
+	}
+	if len(better) > 0 {
+		fmt.Fprintln(out, again)
+	}
+	if len(worse) > 0 {
+		var lines []string
+		for _, f := range worse {
+			lines = append(lines, f.String())
+		}
+		return fmt.Errorf("dearer than the baseline:\n%s\n%s", strings.Join(lines, "\n"), again)
+	}
+	return nil
+}
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -258,7 +258,7 @@
 			j.Shape = []standin.Shape{standin.Pieces, standin.Chunked, standin.SlowRead, standin.Impatient}[r.IntN(4)]
 			j.GiveUp = span(r.Float64(), 1, j.Work*3)
 		} else if odd && r.IntN(8) == 0 {
-			j.Shape = standin.Shapes[5+r.IntN(len(standin.Shapes)-5)]
+			j.Shape = standin.Shapes[6+r.IntN(len(standin.Shapes)-6)]
 			if j.Shape == standin.Borrowed {
 				j.ID = fmt.Sprintf("r%d-0", r.IntN(len(p.Jobs)+1))
 			}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -17,6 +17,7 @@
 	Plain     Shape = ""
 	Pieces    Shape = "pieces"     // sends its request in pieces
 	Chunked   Shape = "chunked"    // sends its body in chunks
+	Single    Shape = "single"     // opens a connection for the one request
 	SlowRead  Shape = "slow-read"  // takes its answer slowly
 	Impatient Shape = "impatient"  // gives up before its deadline
 	Broken    Shape = "broken"     // what cannot be read
@@ -32,11 +33,11 @@
 )
 
 // Shapes lists them all.
-var Shapes = []Shape{Plain, Pieces, Chunked, SlowRead, Impatient, Broken, Half, Endless, Double, Pipelined, Silent, Borrowed, NoClass, Huge, HalfClose}
+var Shapes = []Shape{Plain, Pieces, Chunked, SlowRead, Single, Impatient, Broken, Half, Endless, Double, Pipelined, Silent, Borrowed, NoClass, Huge, HalfClose}
 
 // Usual reports whether an answer in time is owed to a client of this shape.
 func (s Shape) Usual() bool {
-	return s == Plain || s == Pieces || s == Chunked || s == SlowRead || s == Impatient
+	return s == Plain || s == Pieces || s == Chunked || s == Single || s == SlowRead || s == Impatient
 }
 
 // Job is what a client wants done.
--- a/internal/standin/peer.go
+++ b/internal/standin/peer.go
@@ -66,6 +66,7 @@
 	TellsQueue           bool // reports tell how many jobs wait
 	Returns              bool // jobs that wait are handed back when it drains
 	Trouble              Trouble
+	Result               int // bytes added to each result; 0: to some, as the job's length has it; below 0: none
 
 	rnd      *rand.Rand
 	up       bool
@@ -478,7 +479,9 @@
 		return
 	}
 	result := "result of " + j.id + " by " + p.ID
-	if n := int(j.work * 1000); n%7 == 0 { // some answers are long
+	if p.Result > 0 {
+		result += strings.Repeat(".", p.Result)
+	} else if n := int(j.work * 1000); p.Result == 0 && n%7 == 0 { // some answers are long
 		result += strings.Repeat(".", 100*(n%300))
 	}
 	if j.fate <= 1-p.Trouble.Garble {
--- a/internal/standin/sockets.go
+++ b/internal/standin/sockets.go
@@ -187,3 +187,13 @@
 	delete(k.s.open, k.c)
 	k.more.Broadcast()
 }
+
+// Free returns an address on loopback that nobody listens on.
+func (s *Sockets) Free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
