Copy bodies and results once, and hold a request while no peer is known

Cause: io.ReadAll grew a body's room ten times, head() copied the body behind the head, a scanner's buffer grew anew for each result, relay turned the result from string to bytes. Now a body of known length is read into its room, head and body go out with one vectored write, answers share line buffers, the result is written as a string. Ruled out: room for the whole body at once, which a client that only announces one would hold.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -402,7 +402,7 @@
 		b.expire()
 	}
 	jam := !b.s.TellsQueue && b.delay > b.tight
-	if len(b.held) == 0 || jam || (b.asked > 0 && b.now < b.askEnd) {
+	if len(b.held) == 0 || len(b.workers) == 0 || jam || (b.asked > 0 && b.now < b.askEnd) {
 		return
 	}
 	old := b.now - b.horizon()
@@ -690,7 +690,7 @@
 	return w.Weight / w.capSlots
 }
 
-// work is the expected running time of a job times its slots: the class's, or the job's own where that is longer.
+// work is the expected running time of a job, its class's or the longer one of its hint, times its slots.
 func (b *Balancer) work(r *request) float64 {
 	return r.Slots * max(b.run[r.Class], r.Work.Seconds()/b.usual)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -486,6 +486,23 @@
 	}
 }
 
+// A balancer that has no worker yet holds a job until it hears of one.
+func TestNoWorkerYet(t *testing.T) {
+	h := &host{}
+	s := settings()
+	s.MayProbe = true
+	b, err := New(s, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Accept(time.Second, req("r", 1, 0))
+	b.Members(1100*time.Millisecond, ListFull, []Worker{{ID: "w1", State: Ready, Weight: 1}})
+	b.Probed(1200*time.Millisecond, "w1", OK, &Report{FreeSlots: 4, FreeMemory: 9, Queue: -1, Mark: 1})
+	if got := h.take("send"); len(got) != 1 {
+		t.Errorf("sends: %v", got)
+	}
+}
+
 // The timer of an earlier request strikes no later one that uses its id again.
 func TestTimerOfAnEarlierRequest(t *testing.T) {
 	b, h := ready(t, settings(), map[string][2]float64{"w1": {4, 9}})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,7 +54,7 @@
 	ctl := http.NewResponseController(w)
 	ctl.SetWriteDeadline(time.Now().Add(s.limits.WriteWait)) // a client that does not read holds nothing up
 	w.WriteHeader(status[a.Verdict])
-	if _, err := w.Write([]byte(text)); err != nil {
+	if _, err := io.WriteString(w, text); err != nil { // the server takes it without a copy
 		return err
 	}
 	err := ctl.Flush()
--- a/internal/send/exchange.go
+++ b/internal/send/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -58,7 +59,7 @@
 }
 
 // run sends the request over a connection of the pool. The connection's reader ends the exchange.
-func (x *exchange) run(ctx context.Context, p *pool, at place, text []byte) {
+func (x *exchange) run(ctx context.Context, p *pool, at place, head, body []byte) {
 	c, err := p.open(ctx, x, at)
 	if err != nil {
 		if errors.Is(err, errFull) {
@@ -76,7 +77,8 @@
 		c.Close()
 		return
 	}
-	_, err = c.Write(text)
+	// One call writes both, so that the body is not copied to stand behind its head.
+	_, err = (&net.Buffers{head, body}).WriteTo(c.Conn)
 	x.mu.Lock()
 	x.written = err == nil
 	broke := x.broke
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -3,7 +3,6 @@
 package send
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -62,28 +61,35 @@
 		}, e.text)
 	}
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
-	go func() { x.run(ctx, s.pool, at, head(c)) }()
+	go func() { x.run(ctx, s.pool, at, head(c), c.Body) }()
 	return func() { x.cancel(errCancelled) }
 }
 
+// headBytes is what most heads fit in.
+const headBytes = 512
+
 // hop lists the headers that are about one connection or that the node sets itself.
 var hop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "X-Deadline": true,
 }
 
-// head words the request that goes to a peer. What the client sent passes on unchanged.
+// head words the head of the request that goes to a peer; the body follows it as it came. What the client sent passes
+// on unchanged.
 func head(c *request.Context) []byte {
 	var b bytes.Buffer
+	b.Grow(headBytes)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Target, c.Host)
-	skip := maps.Clone(hop)
-	for _, name := range strings.Split(strings.Join(c.Header["Connection"], ","), ",") { // it names further ones
-		skip[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+	skip := hop
+	if named := c.Header["Connection"]; len(named) > 0 { // it names further ones
+		skip = maps.Clone(hop)
+		for _, name := range strings.Split(strings.Join(named, ","), ",") {
+			skip[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
 	}
 	c.Header.WriteSubset(&b, skip)
 	left := max(time.Until(c.Deadline), time.Millisecond)
 	fmt.Fprintf(&b, "X-Deadline: %s\r\nContent-Length: %d\r\n\r\n", strconv.FormatFloat(left.Seconds(), 'f', 3, 64), len(c.Body))
-	b.Write(c.Body)
 	return b.Bytes()
 }
 
@@ -113,15 +119,15 @@
 		x.end(ending{result: balance.Error, report: rep})
 		return
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(make([]byte, 0, 2<<10), s.limits.LineBytes)
-	for in.Scan() {
-		if len(bytes.TrimSpace(in.Bytes())) == 0 {
+	in := newLines(resp.Body, s.limits.LineBytes)
+	defer in.free()
+	for in.next() {
+		if len(bytes.TrimSpace(in.line)) == 0 {
 			continue
 		}
 		var l line
 		// Guards against an answer that is not to this request: it is never served.
-		if json.Unmarshal(in.Bytes(), &l) != nil || l.ID != id {
+		if json.Unmarshal(in.line, &l) != nil || l.ID != id {
 			x.abort(balance.Reset)
 			return
 		}
@@ -175,7 +181,7 @@
 	x.read = func(resp *http.Response) { s.load(x, resp) }
 	x.done = func(e ending) { s.events.Probed(peer, e.result, e.report) }
 	ctx, at := x.begin(time.Now().Add(s.limits.ProbeWait)), s.pool.reserve(x)
-	go x.run(ctx, s.pool, at, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer))
+	go x.run(ctx, s.pool, at, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer), nil)
 }
 
 // load reads the answer to a probe.
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -75,7 +75,7 @@
 func build(p *Plan, out *Outcome, opt Options) *World {
 	w := &World{
 		plan: p, start: time.Now(), out: out, wake: make(chan struct{}, 1), rnd: standin.Random(p.Seed, "world"),
-		byAddr: map[string]*machineState{}, classes: map[string]int{},
+		byAddr: map[string]*machineState{}, deaf: map[string]bool{}, classes: map[string]int{},
 		log: recorder{hash: xxhash.New(), keep: max(opt.Keep, 1), all: opt.Trace, nodes: opt.Nodes},
 	}
 	w.disco = &standin.Discovery{Clock: w, Keep: p.Keep}
@@ -233,6 +233,9 @@
 				job.Within = ms(c.window * p.Scale * p.Windows)
 			}
 		}
+		if j.Shape == standin.Pipelined {
+			w.deaf[name+"-0"], w.deaf[name+"-0p"] = true, true
+		}
 		last = max(last, j.At+c.deadline*p.Scale)
 		w.at(ms(j.At), func() {
 			w.lengthen(job)
--- a/internal/takein/takein.go
+++ b/internal/takein/takein.go
@@ -76,7 +76,11 @@
 		return fault{request.TooLarge, "the body is too large"}
 	}
 	var err error
-	c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	if r.ContentLength >= 0 {
+		c.Body, err = readBody(r.Body, int(r.ContentLength))
+	} else {
+		c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return fault{request.TooLarge, "the body is too large"}
@@ -87,6 +91,24 @@
 	return nil
 }
 
+// firstPart is how much room a body is given before any of it has come.
+const firstPart = 8 << 10
+
+// readBody reads a body of n bytes. It is given all of its room once a first part has come: a client that only
+// announces a large body holds no memory for it.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	b := make([]byte, min(n, firstPart))
+	for read := 0; ; {
+		k, err := io.ReadFull(r, b[read:])
+		if read += k; err != nil || read == n {
+			return b[:read], err
+		}
+		grown := make([]byte, n)
+		copy(grown, b)
+		b = grown
+	}
+}
+
 // once lists the headers that steer a request. Peers get them all: of two, a peer could go by the other one.
 var once = []string{"X-Request-Id", "Idempotency-Key", "X-Deadline", "X-Cost-Hint", "X-Extras", "X-Retry"}
 
