--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -379,7 +379,7 @@
 		c.broken(2, e, "sent for a request that no client has brought")
 		return
 	}
-	if j.over && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
+	if j.over && !j.shared && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
 		c.broken(1, e, "sent after the end of its request")
 	}
 	cl := &c.c.Classes[j.class]
