--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -197,6 +197,22 @@
 			}
 		}),
 	},
+	{
+		Name: "long-jobs-at-a-cold-peer", About: "jobs far longer than their class has been, and say so, find a cold peer",
+		Plans: sweep(12, func() *Plan { return calm(2, 4, 160, 6, "visit-summary") }, func(p *Plan, i int) {
+			p.Nodes, p.Late, p.Scale = 2+i%2, 50, 0.5
+			for k := range p.Peers {
+				p.Peers[k].Cores, p.Peers[k].Slots, p.Peers[k].Zone = 16, 16, 0
+			}
+			for k := range p.Jobs {
+				p.Jobs[k].Work, p.Jobs[k].Hint, p.Jobs[k].Tries = 20, 20, 0
+				if k >= 60 {
+					p.Jobs[k].At, p.Jobs[k].Work, p.Jobs[k].Hint = 2000+100*float64(i)+5*float64(k), 5000, 5000
+				}
+			}
+			p.Faults = []Fault{{Kind: "restart", At: 1700, For: 100, Target: i % 4}}
+		}),
+	},
 	{
 		Name: "jobs-leave-silent-machines", About: "a machine falls silent under long jobs: second copies only where they may be",
 		Plans: sweep(8, func() *Plan { return calm(1, 4, 24, 60, "") }, func(p *Plan, i int) {
@@ -263,8 +279,8 @@
 	},
 }
 
-// kept are plans as files: a seed draws another plan once Draw changes, a file stays what it is. They are, by name:
-// cold peers given jobs far longer than their class's mean.
+// kept are plans as files: a seed draws another plan once Draw changes. They are, by name: cold peers given jobs far longer than
+// their class's mean.
 //
 //go:embed testdata/*.json
 var kept embed.FS
