Count what a worker holds as its queue, and call waiting jobs back

One node alone would have seen its own jobs wait; of 80 each sends one.

Cause: Balancer.room took free slots as room whenever reports carry no queue; what a worker holds beyond one job a taken slot is one (queued, by the capacity seen of its kind). And move called back safe jobs only, and only where reports name the queue; a job that has not started is harmless to repeat within its group. settings: reports that tell what is held tell the queue.

--- a/balance/api.go
+++ b/balance/api.go
@@ -58,7 +58,7 @@
 	Step         time.Duration // the host's shortest time between events
 	TellsStart   bool          // workers tell when a job starts (Note)
 	InOrder      bool          // a worker starts its jobs in the order in which they came
-	TellsQueue   bool          // reports tell how many requests wait
+	TellsQueue   bool          // reports tell how many requests wait, or are held
 	Progress     time.Duration // time between two progress notes; 0 for none
 	RetryAfter   time.Duration // the longest wait that a refused client may be told; 0 if none may
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -296,6 +296,7 @@
 	w.measured = b.now - b.pace // a report is older than its arrival, by about as much as renewals are apart
 	w.capSlots = max(w.capSlots, math.Round(rep.FreeSlots))
 	w.capMem = max(w.capMem, rep.FreeMemory)
+	b.slots[w.Kind] = max(b.slots[w.Kind], w.capSlots)
 	old := min(w.measured-b.pace, b.now-b.s.FallAfter)
 	w.events = slices.DeleteFunc(w.events, func(e event) bool { return e.at < old })
 }
@@ -527,7 +528,7 @@
 		return w.guess - float64(len(w.out)) // cautious until the first report
 	}
 	blind := b.now < b.blindTo
-	if w.rep.Queue >= 0.5 && !blind {
+	if b.queued(w) >= 0.5 && !blind {
 		return 0 // the head of the queue waits for room that it does not find: treat as full
 	}
 	slots, mem := math.Round(w.rep.FreeSlots), w.rep.FreeMemory
@@ -568,9 +569,9 @@
 }
 
 // move calls back jobs that may be repeated: from a worker or a connection that has fallen silent, to
-// another that has room; safe ones also where they wait, as reports are late and rivals may have taken the
-// slot first; or for good when their aim is lost, as they would take a slot from jobs in time. Where reports
-// do not show the queue, one called off may run all the same, so it is not called back for waiting alone.
+// another that has room; also where they wait, as reports are late and rivals may have taken the slot first;
+// or for good when their aim is lost, as they would take a slot from jobs in time. Where reports do not show
+// the queue, one called off may run all the same, so it is not called back for waiting alone.
 func (b *Balancer) move() {
 	if !b.s.MayCancel || !b.s.SecondCopies {
 		return
@@ -579,7 +580,7 @@
 	for _, a := range slices.Clone(b.waits) {
 		r, w := a.r, a.w
 		silent := w.mute && w.probeFails > 1 && b.now-max(w.heard, a.sent) > 4*b.s.DialTimeout+b.s.Progress
-		waits := r.c.Effect == Safe && (silent || b.s.TellsQueue && b.stuck(a))
+		waits := b.s.TellsQueue && b.stuck(a) || r.c.Effect == Safe && silent
 		if r.c.Effect == Unsafe || r.held || !(waits || silent || b.stalled(a)) {
 			continue
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -213,6 +213,44 @@
 	}
 }
 
+// Free slots behind a large job that waits at the head of a queue are no room, however many the report shows: what the
+// worker holds beyond one job a taken slot tells. All nodes sent there otherwise.
+func TestSlotsBehindAQueueAreNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		inHand float64
+		want   string
+	}{{-1, "send r w1"}, {3, "send r w1"}, {9, "send r w2"}} {
+		b, h := ready(t, settings(), map[string][2]float64{"w1": {6, 9}, "w2": {1, 9}})
+		b.Probed(time.Second, "w1", OK, &Report{FreeSlots: 3, FreeMemory: 9, Queue: -1, InHand: c.inHand, Mark: 2})
+		b.Accept(time.Second, req("r", 1, 0))
+		if got := strings.Join(h.take("send"), ";"); got != c.want {
+			t.Errorf("3 of 6 slots free and %v jobs held: got %q, want %q", c.inHand, got, c.want)
+		}
+	}
+}
+
+// A job that waits is called back also if its class is keyed, but goes only where repeats of it are dropped.
+func TestWaitingKeyedJobStaysInItsGroup(t *testing.T) {
+	for zone, want := range map[string]int{"a": 2, "b": 0} {
+		s := settings()
+		s.TellsStart, s.TellsQueue, s.SecondCopies = true, true, true
+		s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Window = Keyed, SameZone, time.Minute
+		b, h := ready(t, s, map[string][2]float64{"w1": {4, 9}, "w2": {0, 9}})
+		b.Members(time.Second, ListChanges, []Worker{{ID: "w1", Zone: "a", State: Ready}, {ID: "w2", Zone: zone, State: Ready}})
+		b.Probed(time.Second, "w1", OK, &Report{FreeSlots: 4, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+		b.Accept(time.Second, req("quick", 1, 0))
+		b.Note(1005*time.Millisecond, "quick", 0, Started, 0)
+		b.Accept(2*time.Second, req("waits", 1, 0))
+		h.take("")
+		b.Probed(2500*time.Millisecond, "w2", OK, &Report{FreeSlots: 2, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+		b.Timer(2600*time.Millisecond, "")
+		log := strings.Join(h.take(""), ";")
+		if got := strings.Count(log, "cancel waits 0") + strings.Count(log, "send waits w2"); got != want {
+			t.Errorf("w2 in zone %s: got %q", zone, log)
+		}
+	}
+}
+
 // Crossing zones is paid for only when the own zone has no room.
 func TestOwnZoneFirstWhereCrossingCosts(t *testing.T) {
 	for _, c := range []struct {
--- a/balance/state.go
+++ b/balance/state.go
@@ -96,22 +96,23 @@
 	retryAt time.Duration // when to ask for the list again
 	misses  int           // failed calls for the list in a row
 	lastReq time.Duration
-	behind  time.Duration // by how much reports repeat the past
-	repeats int           // reports in a row that agree on it
-	blindTo time.Duration // until then reports are not used as room
-	delay   float64       // median seconds from a send to its start note, of late
-	tight   float64       // seconds of the tightest aim
-	quick   time.Duration // the shortest time from a send to its start note
-	usual   float64       // pace of the workers that have told it, on average
-	taken   int           // requests so far
-	rateN   float64       // requests of late, older ones weighing less ...
-	rateT   float64       // ... and the seconds in which they came
-	tokens  float64       // probes on demand that may be sent
-	fresh   []*worker     // those with fresh reports
-	asked   int           // probes on demand not answered yet
-	askEnd  time.Duration // until when a dispatch waits for them
-	next    int           // the place in workers where asking goes on
-	trip    time.Duration // the quickest answer to a probe
+	behind  time.Duration      // by how much reports repeat the past
+	repeats int                // reports in a row that agree on it
+	blindTo time.Duration      // until then reports are not used as room
+	delay   float64            // median seconds from a send to its start note, of late
+	tight   float64            // seconds of the tightest aim
+	quick   time.Duration      // the shortest time from a send to its start note
+	usual   float64            // pace of the workers that have told it, on average
+	taken   int                // requests so far
+	rateN   float64            // requests of late, older ones weighing less ...
+	rateT   float64            // ... and the seconds in which they came
+	tokens  float64            // probes on demand that may be sent
+	fresh   []*worker          // those with fresh reports
+	asked   int                // probes on demand not answered yet
+	askEnd  time.Duration      // until when a dispatch waits for them
+	next    int                // the place in workers where asking goes on
+	trip    time.Duration      // the quickest answer to a probe
+	slots   map[string]float64 // the most slots seen free at a worker of each kind
 }
 
 // release takes the attempt's charge off.
@@ -148,6 +149,16 @@
 	return slots, memory
 }
 
+// queued is how many jobs waited at a worker by its last report. Where reports do not tell, it is what the worker held
+// beyond one job a taken slot. Guards against slots that are free only because a large job at the head of the queue does
+// not fit: they look like room to every node, and all send there.
+func (b *Balancer) queued(w *worker) float64 {
+	if w.rep.Queue >= 0 || w.rep.InHand < 0 {
+		return w.rep.Queue
+	}
+	return w.rep.InHand - max(b.slots[w.Kind]-w.rep.FreeSlots, 0)
+}
+
 // forget drops an ended request once nothing is out for it.
 func (b *Balancer) forget(r *request) {
 	for _, a := range r.attempts {
@@ -251,7 +262,7 @@
 	}
 	b := &Balancer{
 		s: s, act: act, rnd: seed, byID: map[string]*worker{}, reqs: map[string]*request{},
-		run:     make([]float64, len(s.Classes)),
+		slots: map[string]float64{}, run: make([]float64, len(s.Classes)),
 		patient: make([]time.Duration, len(s.Classes)), pace: s.DialTimeout, quick: s.DialTimeout,
 		retryAt: -1, trip: s.DialTimeout / 4, usual: 1,
 	}
--- a/internal/settings/report_test.go
+++ b/internal/settings/report_test.go
@@ -66,3 +66,13 @@
 		}
 	})
 }
+
+// What a worker holds tells its queue as well as a figure of its own.
+func TestTellsQueue(t *testing.T) {
+	for fields, want := range map[string]bool{`"tps","x0"`: false, `"concurrent","x0"`: true, `"depth"`: true} {
+		s, err := Parse([]byte(`{"profiles":[{"name":"a","aimMs":1,"deadlineMs":9,"effect":"retryable"}],"loadReport":{"how":"pull","fields":[` + fields + `]}}`))
+		if err != nil || s.Balance.TellsQueue != want {
+			t.Errorf("%s: got %v %v, want %v", fields, s.Balance.TellsQueue, err, want)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -123,7 +123,7 @@
 		}
 		s.Classes = append(s.Classes, c)
 	}
-	s.TellsQueue = slices.Contains(o.LoadReport.Fields, fieldQueue)
+	s.TellsQueue = slices.Contains(o.LoadReport.Fields, fieldQueue) || slices.Contains(o.LoadReport.Fields, fieldInHand)
 	return Settings{
 		Balance: s, Layout: layout(o.LoadReport.Fields, o.FamilyInfo.ReportX0, o.FamilyInfo.ReportX1),
 		Reports: o.LoadReport.How != silentWord, Idle: MS(o.Limits.ConnIdleMs), MaxOpen: o.Limits.MaxOpen,
