--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -389,7 +389,7 @@
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	l.held = true
-	n.held++
+	n.held.Add(1)
 }
 
 // far is the stand-in's end of a link.
@@ -504,7 +504,7 @@
 		delete(l.node.links, l)
 		if l.held {
 			l.held = false
-			l.node.held--
+			l.node.held.Add(-1)
 		}
 		l.w.endFlight(l, true)
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -18,6 +18,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing/synctest"
 	"time"
@@ -111,8 +112,8 @@
 	life    int
 	conf    *config.Config
 	disco   string
-	held    int  // endpoints open
-	stirred bool // something has happened to it since it was looked at
+	held    atomic.Int64 // endpoints open
+	stirred bool         // something has happened to it since it was looked at
 	began   time.Duration
 	over    chan struct{} // closed when the process is gone
 }
@@ -421,8 +422,8 @@
 			continue
 		}
 		n.stirred = false
-		if most := n.conf.Limits.ClientConns + n.conf.Limits.SpareConns + n.conf.Limits.PeerConns + 8; n.held > most {
-			w.fault("descriptors", fmt.Sprintf("%s holds %d connections, %d are its budget", n.name, n.held, most), n.name, "")
+		if most := n.conf.Limits.ClientConns + n.conf.Limits.SpareConns + n.conf.Limits.PeerConns + 8; int(n.held.Load()) > most {
+			w.fault("descriptors", fmt.Sprintf("%s holds %d connections, %d are its budget", n.name, n.held.Load(), most), n.name, "")
 		}
 		for _, m := range w.order {
 			if m.peer == nil {
@@ -768,8 +769,8 @@
 	err := <-n.ended
 	n.ended <- err
 	w.trace("%s ends: %v", n.name, err)
-	if n.held > 0 {
-		w.fault("leak", fmt.Sprintf("%s has ended and left %d connections open", n.name, n.held), n.name, "")
+	if n.held.Load() > 0 {
+		w.fault("leak", fmt.Sprintf("%s has ended and left %d connections open", n.name, n.held.Load()), n.name, "")
 	}
 	w.gone(n, 0)
 	if err != nil {
@@ -816,7 +817,7 @@
 		l.ep.finish(true)
 	}
 	n.links = map[*link]bool{}
-	n.held = 0
+	n.held.Store(0)
 	if waits >= 0 {
 		n.turn <- struct{}{}
 	}
