Share a cold worker's budget by the nodes' turns, and use its slots

Running time over hint at new peers: 1.5 from their first seconds on, as at old ones. So a cold peer runs fewer jobs at a time, not more slowly. Ruled out: the list (new peers known within 1 s), refusals by them (none).

Causes, balance.go: slow scaled the pace with warmth and set cold peers aside for nearly every job; mayCold drew lots at each node that overrated its looks five times, and before a report took a peer for one slot, so that it was not asked; room rounded a cold peer down to none. Now: the peer's id and the node's number give a turn, and the first six turns may send 1/2, 1/4, 1/6 ... of the lower bound of the budget; those nodes ask cold peers first.

Probes on demand doubled.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,9 +17,13 @@
 const probeShare = 0.005
 
 // look is how many workers with fresh reports a job is to choose from. Two are best where reports are old:
-// the more nodes compare, the more of them choose the same few workers before a report shows it.
+// the more nodes compare, the more of them choose the same few.
 const look = 2
 
+// turns is how many balancers may send to a cold worker. Were each to send all that it may, that would be 1.2
+// times the least that any worker bears.
+const turns = 6
+
 // Members takes a list of workers, or the failure to get one.
 func (b *Balancer) Members(now time.Duration, kind List, list []Worker) {
 	if b.now = now; b.lastReq == 0 {
@@ -77,7 +81,7 @@
 	keep := math.Exp(-gap / 4) // a plain average at first, later the last seconds weigh most
 	b.rateN, b.rateT = b.rateN*keep+1, b.rateT*keep+gap
 	b.lastReq, b.taken = now, b.taken+1
-	b.tokens = min(b.tokens+2*look, 4*look) // probes on demand: two looks a job, some saved up
+	b.tokens = min(b.tokens+4*look, 16*look) // probes on demand: two looks a job, some saved up
 	b.reqs[q.ID] = r
 	b.act.After(r.end-now, q.ID)
 	if b.hold(r); b.doomed(r) {
@@ -139,7 +143,7 @@
 	if a.started == 0 || a.r.Work == 0 || span < 0.05 || !(share > a.share && share <= 1) {
 		return
 	}
-	v := (share - a.share) * a.r.Work.Seconds() / span / b.warmth(a.w)
+	v := (share - a.share) * a.r.Work.Seconds() / span
 	if a.w.pace == 0 || b.now-a.w.paceAt > paceFor {
 		a.w.pace = v
 	}
@@ -150,22 +154,11 @@
 	a.w.paceAt, a.share, a.shareAt = b.now, share, b.now
 }
 
-// slow reports whether a job would miss its aim on a worker at the pace last seen there, or, while it is
-// cold, at the usual one: time is one more resource that it lacks.
+// slow reports whether a job would miss its aim on a worker at the pace last seen there: time is one more
+// resource that it lacks. A cold worker runs fewer jobs at a time, but not more slowly.
 func (b *Balancer) slow(w *worker, r *request) bool {
-	pace, known, warm := b.usual, b.now-w.paceAt <= paceFor && w.pace > 0, b.warmth(w)
-	if known {
-		pace = w.pace
-	}
-	if r.Work == 0 || r.c.LateWorth > 0 || (!known && warm == 1) {
-		return false
-	}
-	takes := r.Work.Seconds() / pace
-	if warm < 1 { // it does warm*t + gain/2*t*t of the work in the time t
-		gain := (1 - b.s.ColdFrom) / b.s.ColdFor.Seconds()
-		takes = (math.Sqrt(warm*warm+2*gain*takes) - warm) / gain
-	}
-	return takes > b.left(r)
+	known := b.now-w.paceAt <= paceFor && w.pace > 0
+	return known && r.Work > 0 && r.c.LateWorth == 0 && r.Work.Seconds()/w.pace > b.left(r)
 }
 
 // left is the time in seconds that a job may still take if it starts now and is to meet its aim.
@@ -249,7 +242,6 @@
 			w.Started = now
 		}
 		w.probeFails, w.heard, b.mute, b.okAt = 0, now, 0, now
-		b.trip = min(b.trip, now-w.probed)
 		if rep != nil {
 			b.report(w, rep)
 		}
@@ -264,9 +256,6 @@
 	b.tend()
 }
 
-// soon is the time within which an answer counts as quick.
-func (b *Balancer) soon() time.Duration { return 4*b.trip + 2*b.s.Step }
-
 // horizon is how long a report stays fresh: until rivals, taken to send as much as this balancer,
 // have sent a worker one job, but no shorter than reports are renewed.
 func (b *Balancer) horizon() time.Duration {
@@ -434,31 +423,37 @@
 	}
 }
 
-// ask probes up to n workers that could run r and have no fresh report, in an order drawn once by seeded
-// chance: of the own zone where crossing costs, and any from the second look on. It reports whether answers
-// are to be waited for.
+// ask probes up to n workers that could run r and have no fresh report: the home, then cold ones, at which
+// few may look, then round in an order drawn by chance; of the own zone where crossing costs, and any from
+// the second look on. It reports whether answers are to be waited for.
 func (b *Balancer) ask(r *request, n int) bool {
 	r.looks++
 	ran, far := r.maybeRan(), r.looks > 1 || b.s.PriceCross == 0
-	for i := -1; b.s.MayProbe && i < len(b.workers) && n > 0 && b.tokens >= 1; i++ {
-		w := b.home
-		if i >= 0 || w == nil {
-			b.next = (b.next + 1) % len(b.workers)
-			w = b.workers[b.next]
-		}
-		if w.probing || w.listed || (!far && w.Zone != b.s.Zone) || !b.able(w, r, ran) {
-			continue
+	look := func(w *worker) {
+		if w == nil || n <= 0 || b.tokens < 1 || w.probing || w.listed ||
+			(!far && w.Zone != b.s.Zone) || !b.able(w, r, ran) {
+			return
 		}
 		n--
 		b.tokens--
 		b.probe(w)
 		w.asked = true
 		b.asked++
-	}
-	if b.asked > 0 {
-		b.askEnd = b.now + b.soon()
+		b.askEnd = max(b.askEnd, b.now+b.startsBy(w))
 		b.act.After(b.askEnd-b.now, "")
 	}
+	if b.s.MayProbe {
+		look(b.home)
+		for _, w := range b.workers {
+			if b.warmth(w) < 1 {
+				look(w)
+			}
+		}
+		for i := 0; i < len(b.workers) && n > 0 && b.tokens >= 1; i++ {
+			b.next = (b.next + 1) % len(b.workers)
+			look(b.workers[b.next])
+		}
+	}
 	return b.asked > 0
 }
 
@@ -532,7 +527,7 @@
 		return 0 // the head of the queue waits for room that it does not find: treat as full
 	}
 	slots, mem := math.Round(w.rep.FreeSlots), w.rep.FreeMemory
-	capS, capM := math.Floor(w.capSlots*b.warmth(w)), w.capMem
+	capS, capM := max(math.Floor(w.capSlots*b.warmth(w)), 1), w.capMem
 	for _, a := range w.out {
 		if b.stuck(a) {
 			return 0 // a job of ours waits there, whatever the report says
@@ -553,7 +548,16 @@
 
 // stuck reports whether an own job waits at its worker, where workers tell when a job starts.
 func (b *Balancer) stuck(a *attempt) bool {
-	return b.s.TellsStart && a.started == 0 && b.now-a.sent > 4*b.quick+2*b.s.Step
+	return b.s.TellsStart && a.started == 0 && b.now-a.sent >= b.startsBy(a.w)
+}
+
+// startsBy is how soon a job that does not wait has told of its start, or a probe is answered: a new
+// connection to another zone takes several longer round trips.
+func (b *Balancer) startsBy(w *worker) time.Duration {
+	if w.Zone != b.s.Zone {
+		return max(b.s.DialTimeout/4, 4*b.quick+2*b.s.Step)
+	}
+	return 4*b.quick + 2*b.s.Step
 }
 
 // stalled reports whether an own job is not heard of any more though its worker lives: its connection has
@@ -592,10 +596,15 @@
 			b.answer(r)
 			continue
 		}
-		if to, _ := b.pick(r); to != nil && !b.spent(r, 1) {
+		if b.spent(r, 1) {
+			continue
+		}
+		if to, _ := b.pick(r); to != nil {
 			a.left = true
 			b.act.Cancel(r.ID, slices.Index(r.attempts, a))
 			b.hold(r)
+		} else if b.asked == 0 {
+			b.ask(r, look)
 		}
 	}
 }
@@ -610,29 +619,19 @@
 }
 
 // mayCold guards a worker that has just started: its report shows every slot free, but it falls over when all
-// balancers send it more than a multiple of what it can do at present. What this balancer sends in any window
-// stays under half of its own part. Where that part is under one job, as among many balancers, chance drawn
-// once a window decides: what all are expected to send stays four deviations under the limit.
+// balancers send it more than a multiple of what it can do at present. Few balancers may, the same ones by
+// its id at each of them: the first half of that in any window, the second a quarter, the third a sixth.
 func (b *Balancer) mayCold(w *worker, r *request) bool {
-	f, own, all := b.warmth(w), 0.0, float64(b.s.Balancers)
+	f, own := b.warmth(w), w.sentSince(b.now-b.s.FallAfter)
 	if f >= 1 || b.s.FallMultiple <= 0 {
 		return true
 	}
-	for _, e := range w.events {
-		if e.at >= b.now-b.s.FallAfter {
-			own += e.work
-		}
-	}
-	window := b.s.FallAfter.Seconds()
-	jobs := b.s.FallMultiple * f * max(w.capSlots, 1) * window / b.work(r) // for all balancers in a window
-	if own > 0 || 2*all <= jobs {
-		return 2*(own/b.work(r)+1)*all <= jobs
-	}
-	if b.now >= w.drawn {
-		w.draw, w.drawn = b.chance(), b.now+b.s.FallAfter
+	size := max(w.capSlots, b.slots[w.Kind])
+	if size == 0 { // neither it nor one like it has ever reported
+		return w.turn == 0 && own == 0
 	}
-	looks := (b.tokens + 2*look*b.reqRate()*window + 1) / float64(len(b.workers)) // at it in a window
-	return w.draw*all*min(looks, 1) < math.Pow((math.Sqrt(16+4*jobs)-4)/2, 2)
+	budget := b.s.FallMultiple * f * size * b.s.FallAfter.Seconds()
+	return w.turn < turns && 2*float64(w.turn+1)*(own+b.work(r)) <= budget
 }
 
 func (b *Balancer) send(r *request, w *worker) {
@@ -641,6 +640,9 @@
 	w.out, b.waits = append(w.out, a), append(b.waits, a)
 	w.events = append(w.events, event{b.now, -r.Slots, -r.Memory, b.work(r)})
 	b.act.Send(r.ID, w.ID)
+	if b.s.TellsStart {
+		b.act.After(b.startsBy(w), "") // to see whether it waits
+	}
 }
 
 // tend ends every event: it sends held jobs and does what falls due: the list, probes ahead, the next wake.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -704,12 +704,20 @@
 	s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 0.12, 20*time.Second, 3, 1500*time.Millisecond
 	total, sent := 0, map[string]int{}
 	for n := range s.Balancers {
+		s.Me = n
 		b, h := crowd(t, s, uint64(n), 10, 95*time.Second)
+		b.Members(100*time.Second, ListChanges, []Worker{{ID: "warm", Zone: "a", State: Ready}}) // and full, but it tells their size
+		b.Probed(100*time.Second, "warm", OK, &Report{FreeSlots: 4, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 1})
+		b.Probed(100*time.Second, "warm", OK, &Report{FreeSlots: 0, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
 		for k := range 3 { // two jobs a second, one window
 			now := 100*time.Second + time.Duration(500*k+n)*time.Millisecond
 			b.Accept(now, req(fmt.Sprint("r", k), 1, 0))
 			for _, p := range h.take("probe") {
-				b.Probed(now, p[len("probe "):], OK, &Report{FreeSlots: 4, FreeMemory: 9, Queue: -1, Mark: uint64(k)})
+				free := 4.0
+				if p == "probe warm" {
+					free = 0
+				}
+				b.Probed(now, p[len("probe "):], OK, &Report{FreeSlots: free, FreeMemory: 9, Queue: -1, InHand: -1, Mark: uint64(k)})
 			}
 			for _, l := range h.take("send") {
 				sent[l[len("send r0 "):]]++
@@ -724,8 +732,49 @@
 			t.Errorf("%d jobs sent to cold %s, it falls over at %.1f", n, w, limit)
 		}
 	}
-	if total == 0 {
-		t.Error("nothing sent to cold workers")
+	if len(sent) < 10 || total < 3*10 {
+		t.Errorf("%d jobs sent to %d cold workers of 10: most stand idle", total, len(sent))
+	}
+}
+
+// A cold worker runs its first jobs as fast as a warm one: its lower capacity says how many run at a time, not how
+// fast. One that looks too slow for any job stands idle while the others are full.
+func TestColdWorkerTakesAJob(t *testing.T) {
+	s := settings()
+	s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 0.13, 24*time.Second, 3, 3*time.Second
+	b, h := ready(t, s, map[string][2]float64{"w1": {0, 9}, "w2": {5, 9}})
+	b.Members(time.Second, ListChanges, []Worker{{ID: "w2", Zone: "a", State: Ready, Started: time.Second}})
+	b.Probed(time.Second, "w2", OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+	r := req("r", 1, 0)
+	r.Work = 500 * time.Millisecond // at a fourth of the pace it would end after its aim of 1 s and twice its work
+	b.Accept(time.Second, r)
+	if got := strings.Join(h.take("send"), ";"); got != "send r w2" {
+		t.Errorf("got %q", got)
+	}
+	b.Accept(time.Second, req("s", 1, 0))
+	if got := strings.Join(h.take("send"), ";"); got != "" {
+		t.Errorf("more than it has room for: %q", got)
+	}
+}
+
+// A try in another zone needs the round trips of a new connection before its start is told: it is not called back
+// for waiting before that, as one in the own zone is, and no second time for the same wait.
+func TestTryInAnotherZoneIsGivenTime(t *testing.T) {
+	for zone, want := range map[string]string{"a": "cancel waits 0", "b": ""} {
+		s := settings()
+		s.DialTimeout = 150 * time.Millisecond
+		s.TellsStart, s.TellsQueue, s.SecondCopies = true, true, true
+		b, h := ready(t, s, map[string][2]float64{"w1": {4, 9}, "w2": {0, 9}})
+		b.Accept(time.Second, req("quick", 1, 0))
+		b.Note(1001*time.Millisecond, "quick", 0, Started, 0) // the shortest start known, from the own zone
+		b.Members(time.Second, ListChanges, []Worker{{ID: "w1", Zone: zone, State: Ready}})
+		b.Accept(1100*time.Millisecond, req("waits", 1, 0))
+		b.Probed(1100*time.Millisecond, "w2", OK, &Report{FreeSlots: 2, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+		h.take("")
+		b.Timer(1120*time.Millisecond, "")
+		if got := strings.Join(h.take("cancel"), ";"); got != want {
+			t.Errorf("w1 in zone %s: got %q, want %q", zone, got, want)
+		}
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -51,8 +52,7 @@
 	mute             bool          // its last probe brought no answer
 	toldStart        time.Duration // its last start as the list tells it
 	heard            time.Duration // last sign of life
-	draw             float64       // the chance that decides while it is cold
-	drawn            time.Duration // until when it holds
+	turn             int           // this balancer's place among those that may send to it while it is cold
 	asked            bool          // a dispatch waits for the answer to its probe
 	seenAt           time.Duration // when it last answered a probe
 	pace             float64       // work it does in a second on one job, as on a standard core; 0 if not known
@@ -111,7 +111,6 @@
 	asked   int                // probes on demand not answered yet
 	askEnd  time.Duration      // until when a dispatch waits for them
 	next    int                // the place in workers where asking goes on
-	trip    time.Duration      // the quickest answer to a probe
 	slots   map[string]float64 // the most slots seen free at a worker of each kind
 }
 
@@ -149,6 +148,16 @@
 	return slots, memory
 }
 
+// sentSince sums the work of own sends since t.
+func (w *worker) sentSince(t time.Duration) (work float64) {
+	for _, e := range w.events {
+		if e.at >= t {
+			work += e.work
+		}
+	}
+	return work
+}
+
 // queued is how many jobs waited at a worker by its last report. Where reports do not tell, it is what the worker held
 // beyond one job a taken slot. Guards against slots that are free only because a large job at the head of the queue does
 // not fit: they look like room to every node, and all send there.
@@ -264,7 +273,7 @@
 		s: s, act: act, rnd: seed, byID: map[string]*worker{}, reqs: map[string]*request{},
 		slots: map[string]float64{}, run: make([]float64, len(s.Classes)),
 		patient: make([]time.Duration, len(s.Classes)), pace: s.DialTimeout, quick: s.DialTimeout,
-		retryAt: -1, trip: s.DialTimeout / 4, usual: 1,
+		retryAt: -1, usual: 1,
 	}
 	for i, c := range s.Classes {
 		b.run[i] = c.Aim.Seconds()
@@ -282,6 +291,10 @@
 		w = &worker{marks: map[uint64]time.Duration{}, guess: 1, heard: b.now, rep: Report{Queue: -1}}
 		b.byID[m.ID] = w
 		w.probed, w.jitter = b.now, b.chance()/4
+		h := fnv.New32a()
+		h.Write([]byte(m.ID))
+		n := uint32(b.s.Balancers)
+		w.turn = int((uint32(b.s.Me)%n + n - h.Sum32()%n) % n)
 	} else if m.Started > w.Started { // restarted: what was known of it is void
 		w.restarted()
 		w.probed = 0 // probe at once
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -33,6 +33,7 @@
 <after 3 w 250
 <after 3 rc:1 9990
 <forward 3 c:1 0 executor.a
+<after 3 w 1010
 <after 3 rc:2 9990
 <ready 3
 frame 1105.5 4
@@ -40,6 +41,7 @@
 report_back 3 c:1 executor.a 5.5 - 1 0 100 -
 go
 <forward 3 c:2 0 executor.a
+<after 3 w 32
 <ready 4
 frame 1110 5
 report_back 3 c:2 executor.a 4.5 - 0 0 305 -
