Look at the same few peers, none when idle, and leave those that made a job wait

A peer that had just let a job wait kept its report, so the node's next try went there again; and own-zone peers with such reports went before any in the other zone. Of 4,700 connections to peers 1,000 were opened in the first 3 s by probes ahead: a node without a request took its rate for one a second, and its reports for good for ever.

move: such a peer has no room for a job of that size until its report changes; pick, ask: a job tried in vain may go to either zone; ask: goes round from the same end each time, so connections are used again; probeGap: priced by the requests that came.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -428,7 +428,7 @@
 // the second look on. It reports whether answers are to be waited for.
 func (b *Balancer) ask(r *request, n int) bool {
 	r.looks++
-	ran, far := r.maybeRan(), r.looks > 1 || b.s.PriceCross == 0
+	ran, far := r.maybeRan(), r.looks > 1 || len(r.attempts) > 0 || b.s.PriceCross == 0
 	look := func(w *worker) {
 		if w == nil || n <= 0 || b.tokens < 1 || w.probing || w.listed ||
 			(!far && w.Zone != b.s.Zone) || !b.able(w, r, ran) {
@@ -449,9 +449,8 @@
 				look(w)
 			}
 		}
-		for i := 0; i < len(b.workers) && n > 0 && b.tokens >= 1; i++ {
-			b.next = (b.next + 1) % len(b.workers)
-			look(b.workers[b.next])
+		for _, w := range b.workers {
+			look(w)
 		}
 	}
 	return b.asked > 0
@@ -484,7 +483,7 @@
 			continue
 		}
 		n := b.room(w, r)
-		zone := w.Zone == b.s.Zone || b.s.PriceCross == 0
+		zone := w.Zone == b.s.Zone || len(r.attempts) > 0 || b.s.PriceCross == 0
 		if n < 1 || (near && !zone) {
 			continue
 		}
@@ -601,6 +600,7 @@
 		}
 		if to, _ := b.pick(r); to != nil {
 			a.left = true
+			w.rep.FreeSlots = min(w.rep.FreeSlots, r.Slots-1) // whatever it reported
 			b.act.Cancel(r.ID, slices.Index(r.attempts, a))
 			b.hold(r)
 		} else if b.asked == 0 {
@@ -678,7 +678,7 @@
 
 // probeGap is the seconds between probes ahead: the pace of fresh reports, or longer as their price demands.
 func (b *Balancer) probeGap() float64 {
-	cost := float64(len(b.workers)) * b.s.PriceProbe / max(b.reqRate(), 1)
+	cost := float64(len(b.workers)) * b.s.PriceProbe / max(b.reqRate(), 0.01)
 	if len(b.held) > 0 {
 		cost /= 2
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -693,6 +693,62 @@
 		if got := h.take("send"); len(got) != 1 || got[0] != want {
 			t.Fatalf("job %d: got %v, want %s", n, got, want)
 		}
+		b.Done(now+time.Second, Outcome{Request: fmt.Sprint("r", n), Worker: asked[look-1][len("probe "):], Result: OK, Final: true})
+	}
+}
+
+// A node among many looks at the same few workers again and again: connections to all from each would be as many as
+// nodes times workers. One that has no requests looks at none, and so costs the fleet nothing.
+func TestConnectionsStayFew(t *testing.T) {
+	s := settings()
+	s.Balancers, s.PriceProbe = 80, 0.002
+	b, h := crowd(t, s, 1, 60, 0)
+	now, met := 100*time.Second, map[string]bool{}
+	for range 200 {
+		now += 100 * time.Millisecond
+		b.Timer(now, "")
+	}
+	if got := h.take("probe"); len(got) > 0 {
+		t.Errorf("an idle node has sent %d probes", len(got))
+	}
+	for n := range 40 {
+		now += 2500 * time.Millisecond
+		id := fmt.Sprint("r", n)
+		b.Accept(now, req(id, 1, 0))
+		for _, p := range h.take("probe") {
+			met[p] = true
+			b.Probed(now, p[len("probe "):], OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: -1, Mark: uint64(n)})
+		}
+		for _, l := range h.take("send") {
+			b.Done(now+time.Second, Outcome{Request: id, Worker: l[len("send "+id+" "):], Result: OK, Final: true})
+		}
+	}
+	if len(met) > 2*look {
+		t.Errorf("%d of 60 workers met for 40 jobs one after the other", len(met))
+	}
+}
+
+// A worker that let a job wait is full for its like until it reports anew, whatever its last report says: otherwise
+// the next job goes there too. And a job that has been tried in vain may go to the other zone, where it would cost
+// more than in its own.
+func TestBouncedJobGoesElsewhere(t *testing.T) {
+	s := settings()
+	s.DialTimeout, s.PriceCross, s.MaxAttempts = 150*time.Millisecond, 0.03, 4
+	s.TellsStart, s.TellsQueue, s.SecondCopies = true, true, true
+	b, h := ready(t, s, map[string][2]float64{"w1": {5, 9}, "w2": {1, 9}, "w3": {4, 9}})
+	b.Members(time.Second, ListChanges, []Worker{{ID: "w3", Zone: "b", State: Ready}})
+	b.Accept(time.Second, req("quick", 1, 0))
+	b.Note(1001*time.Millisecond, "quick", 0, Started, 0)
+	b.Accept(1100*time.Millisecond, req("waits", 1, 0))
+	b.Timer(1120*time.Millisecond, "")
+	if got := strings.Join(h.take("send waits"), ";"); got != "send waits w1;send waits w3" {
+		t.Errorf("got %q", got)
+	}
+	b.Done(1121*time.Millisecond, Outcome{Request: "waits", Worker: "w1", Result: Cancelled})
+	b.Probed(1130*time.Millisecond, "w1", OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 1})
+	b.Accept(1130*time.Millisecond, req("next", 1, 0))
+	if got := strings.Join(h.take("send next"), ";"); got != "send next w2" {
+		t.Errorf("after a bounce and the same report: got %q", got)
 	}
 }
 
@@ -722,6 +778,7 @@
 			for _, l := range h.take("send") {
 				sent[l[len("send r0 "):]]++
 				total++
+				b.Done(now, Outcome{Request: fmt.Sprint("r", k), Worker: l[len("send r0 "):], Result: OK, Final: true})
 			}
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -110,7 +110,6 @@
 	fresh   []*worker          // those with fresh reports
 	asked   int                // probes on demand not answered yet
 	askEnd  time.Duration      // until when a dispatch waits for them
-	next    int                // the place in workers where asking goes on
 	slots   map[string]float64 // the most slots seen free at a worker of each kind
 }
 
