--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -728,6 +728,45 @@
 	}
 }
 
+// When discovery ends the watches of eighty balancers at once and answers eight calls a second from then on, nearly
+// all of them have a list again within half a minute: those that ask too often keep one another from being answered.
+func TestListCallsOfManyBalancers(t *testing.T) {
+	s := settings()
+	s.Balancers, s.MustAsk, s.DialTimeout = 80, true, 150*time.Millisecond
+	calls, asked, since, have := 0, map[int]bool{}, map[int]time.Duration{}, 0
+	hosts, nodes := make([]*host, s.Balancers), make([]*Balancer, s.Balancers)
+	var queue []int
+	for n := range nodes {
+		s.Me = n
+		nodes[n], hosts[n] = crowd(t, s, uint64(n), 10, 0)
+		nodes[n].Members(100*time.Second, ListFailed, nil)
+	}
+	for ms := 100000; ms < 130000 && have < s.Balancers; ms += 25 {
+		now := time.Duration(ms) * time.Millisecond
+		for n, b := range nodes {
+			b.Timer(now, "")
+			if len(hosts[n].take("watch")) > 0 && !asked[n] {
+				calls, asked[n] = calls+1, true
+				queue, since[n] = append(queue, n), now
+			}
+		}
+		if ms%125 != 0 || len(queue) == 0 {
+			continue
+		}
+		n := queue[0]
+		if queue = queue[1:]; now-since[n] > time.Second { // it has waited too long, and has cost its turn all the same
+			asked[n] = false
+			nodes[n].Members(now, ListFailed, nil)
+		} else {
+			nodes[n].Members(now, ListChanges, nil)
+			have++
+		}
+	}
+	if have < s.Balancers*9/10 || calls > 3*s.Balancers {
+		t.Errorf("%d of %d balancers have a list after 30 s and %d calls", have, s.Balancers, calls)
+	}
+}
+
 // A worker that let a job wait is full for its like until it reports anew, whatever its last report says: otherwise
 // the next job goes there too. And a job that has been tried in vain may go to the other zone, where it would cost
 // more than in its own.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -130,6 +130,7 @@
 		if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges {
 			r.sender.Update(g) // first: the Balancer may send to a peer as soon as it hears of it
 		}
+		r.log.Debug("group", "kind", kind, "version", g.Version, "entries", len(g.Peers))
 		r.b.Members(r.now(), kind, g.Workers())
 		if !r.holds && len(g.Peers) > 0 {
 			r.holds = true
@@ -259,7 +260,10 @@
 func (r *Stage) Probe(peer string) { r.sender.Probe(peer) }
 
 // Watch implements balance.Actions.
-func (r *Stage) Watch() { r.upstream.Watch() }
+func (r *Stage) Watch() {
+	r.log.Debug("asks for the group")
+	r.upstream.Watch()
+}
 
 // Fetch implements balance.Actions.
 func (r *Stage) Fetch() { r.upstream.Fetch() }
