--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,9 +20,8 @@
 // the more nodes compare, the more of them choose the same few.
 const look = 2
 
-// turns is how many balancers may send to a cold worker. Were each to send all that it may, that would be 1.2
-// times the least that any worker bears.
-const turns = 6
+// turns is how many balancers may send to a cold worker; their parts together are just under what it bears.
+const turns = 4
 
 // Members takes a list of workers, or the failure to get one.
 func (b *Balancer) Members(now time.Duration, kind List, list []Worker) {
@@ -620,7 +619,7 @@
 
 // mayCold guards a worker that has just started: its report shows every slot free, but it falls over when all
 // balancers send it more than a multiple of what it can do at present. Few balancers may, the same ones by
-// its id at each of them: the first half of that in any window, the second a quarter, the third a sixth.
+// its id at each of them: the first 0.48 of that in any window, the next a half, a third and a fourth of it.
 func (b *Balancer) mayCold(w *worker, r *request) bool {
 	f, own := b.warmth(w), w.sentSince(b.now-b.s.FallAfter)
 	if f >= 1 || b.s.FallMultiple <= 0 {
@@ -631,7 +630,7 @@
 		return w.turn == 0 && own == 0
 	}
 	budget := b.s.FallMultiple * f * size * b.s.FallAfter.Seconds()
-	return w.turn < turns && 2*float64(w.turn+1)*(own+b.work(r)) <= budget
+	return w.turn < turns && 2.1*float64(w.turn+1)*(own+b.work(r)) <= budget
 }
 
 func (b *Balancer) send(r *request, w *worker) {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -147,7 +147,7 @@
 type load struct {
 	at   time.Duration
 	work float64
-	node string
+	knew bool // the node had been told of the start that the peer is cold from
 }
 
 // Checker checks a trace.
@@ -429,15 +429,17 @@
 	if !p.up || warm >= 1 || c.c.FallAfter <= 0 || c.c.FallMultiple <= 0 {
 		return
 	}
-	p.loads = append(p.loads, load{e.At, e.Work, e.Node})
+	// Whether the node knew is judged as of now: a later word does not make it so.
+	w, heard := p.told[e.Node]
+	knew := heard && w.since >= p.started || c.c.ToldAfter > 0 && e.At >= p.started+c.c.ToldAfter
+	p.loads = append(p.loads, load{e.At, e.Work, knew})
 	for len(p.loads) > 0 && p.loads[0].at < e.At-c.c.FallAfter {
 		p.loads = p.loads[1:]
 	}
 	sum, knowing, largest := 0.0, 0.0, 0.0
 	for _, l := range p.loads {
 		sum, largest = sum+l.work, max(largest, l.work)
-		w, heard := p.told[l.node]
-		if heard && w.since >= p.started || c.c.ToldAfter > 0 && l.at >= p.started+c.c.ToldAfter {
+		if l.knew {
 			knowing += l.work
 		}
 	}
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -133,7 +133,7 @@
 	bad := func(key string, a ...any) error { return fmt.Errorf("%s: out of range", fmt.Sprintf(key, a...)) }
 	ok := func(v, least, most float64) bool { return v >= least && v <= most }
 	switch {
-	case p.Nodes < 1 || p.Nodes > 16:
+	case p.Nodes < 1 || p.Nodes > mostNodes:
 		return bad("nodes")
 	case len(p.Peers) < 1 || len(p.Peers) > 200:
 		return bad("peers")
