--- a/internal/route/mailbox.go
+++ b/internal/route/mailbox.go
@@ -17,6 +17,7 @@
 type mailbox struct {
 	mu     sync.Mutex
 	events []event
+	spare  []event // what was taken last: its memory is used again
 	ready  chan struct{}
 }
 
@@ -32,12 +33,20 @@
 	}
 }
 
-// take returns all events posted so far, in their order.
+// mostSpare is how many events' memory is kept for the next: what a burst has needed is given back.
+const mostSpare = 1024
+
+// take returns all events posted so far, in their order. They are the caller's until the next call.
 func (m *mailbox) take() []event {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	events := m.events
-	m.events = nil
+	clear(m.spare) // what they held must not live on
+	if m.events = m.spare[:0]; cap(events) > mostSpare {
+		m.spare = nil
+	} else {
+		m.spare = events
+	}
 	return events
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,11 +48,15 @@
 	start    time.Time
 	held     chan struct{} // closed once an upstream group that is not empty is held
 	holds    bool
+	wake     func() // posts tick; both are made once, as the Balancer is woken for every try
+	tick     func()
 }
 
 // New returns the stage, or an error that names the setting that cannot be right.
 func New(s balance.Settings, seed uint64, order machine.Order, log *slog.Logger) (*Stage, error) {
 	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, start: time.Now(), held: make(chan struct{})}
+	r.tick = func() { r.b.Timer(r.now(), "") }
+	r.wake = func() { r.box.post(machine.Source{Kind: machine.Timer}, r.tick) }
 	var err error
 	r.b, err = balance.New(s, seed, r)
 	if err == nil && order != nil {
@@ -271,6 +275,10 @@
 // After implements balance.Actions. The timer of a request ends with it: one that outlived it would cost memory for
 // the whole patience of a client that was answered at once, and would strike a later request of the same id.
 func (r *Stage) After(d time.Duration, id string) {
+	if id == "" {
+		time.AfterFunc(d, r.wake)
+		return
+	}
 	t := time.AfterFunc(d, func() {
 		r.box.post(machine.Source{Kind: machine.Timer, ID: id}, func() { r.b.Timer(r.now(), id) })
 	})
