Ask the stand-in discovery for its front where no other call is under way

The race detector found the test's call of Front beside the stand-in's own timer: it is made inside Do now, as all others. Three runs of internal/node under the race detector are clean.

--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -77,7 +77,9 @@
 		}
 		s.Do(func() { disco.Set(standin.Entry{ID: p.ID, Addr: addr, Zone: "a", Cell: 1, State: "in_service"}) })
 	}
-	at, err := s.Listen(disco.Front().Open)
+	var front *standin.Front
+	s.Do(func() { front = disco.Front() })
+	at, err := s.Listen(front.Open)
 	if err != nil {
 		t.Fatal(err)
 	}
