A large job may run alone on a cold worker where it ends in time; no home worker

Lines at fault: capS in room. A cold worker that holds nothing has all of its slots as room; slow counts what each slot gets of its capacity, so that the job goes only where it ends in time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,7 +45,6 @@
 			b.member(m)
 		}
 		b.workers = slices.DeleteFunc(b.workers, (*worker).unlist)
-		b.settle()
 		if kind != ListCached {
 			b.misses, b.retryAt = 0, -1
 		} else if b.s.MustAsk { // a restarted node knows only a stale list: ask at once
@@ -55,15 +54,6 @@
 	b.tend()
 }
 
-// settle finds the home, the worker looked at first. Where reports are older than rivals' sends, own charges
-// are all that is sure, and say most where few others send. The golden ratio spreads balancers evenly.
-func (b *Balancer) settle() {
-	if near := b.nearby(); len(near) > 0 {
-		_, part := math.Modf(float64(b.s.Me) * math.Phi)
-		b.home = near[int(part*float64(len(near)))]
-	}
-}
-
 // Accept takes a request; the balancer now owes it exactly one final answer.
 func (b *Balancer) Accept(now time.Duration, q Request) {
 	b.now = now
@@ -153,11 +143,16 @@
 	a.w.paceAt, a.share, a.shareAt = b.now, share, b.now
 }
 
-// slow reports whether a job would miss its aim on a worker at the pace last seen there: time is one more
-// resource that it lacks. A cold worker runs fewer jobs at a time, but not more slowly.
+// slow reports whether a job would miss its aim on a worker: time is one more resource that it lacks. It goes by
+// the pace last seen there, and by what the slots of a large job get of a cold worker's capacity.
 func (b *Balancer) slow(w *worker, r *request) bool {
-	known := b.now-w.paceAt <= paceFor && w.pace > 0
-	return known && r.Work > 0 && r.c.LateWorth == 0 && r.Work.Seconds()/w.pace > b.left(r)
+	pace, share := b.usual, b.share(w, r)
+	if b.now-w.paceAt <= paceFor && w.pace > 0 {
+		pace = w.pace
+	} else if share == 1 {
+		return false
+	}
+	return r.Work > 0 && r.c.LateWorth == 0 && r.Work.Seconds()/(pace*share) > b.left(r)
 }
 
 // left is the time in seconds that a job may still take if it starts now and is to meet its aim.
@@ -422,14 +417,14 @@
 	}
 }
 
-// ask probes up to n workers that could run r and have no fresh report: the home, then cold ones, at which
+// ask probes up to n workers that could run r and have no fresh report: first cold ones, at which
 // few may look, then round in an order drawn by chance; of the own zone where crossing costs, and any from
 // the second look on. It reports whether answers are to be waited for.
 func (b *Balancer) ask(r *request, n int) bool {
 	r.looks++
 	ran, far := r.maybeRan(), r.looks > 1 || len(r.attempts) > 0 || b.s.PriceCross == 0
 	look := func(w *worker) {
-		if w == nil || n <= 0 || b.tokens < 1 || w.probing || w.listed || b.now < w.probed+b.rest(w) ||
+		if n <= 0 || b.tokens < 1 || w.probing || w.listed || b.now < w.probed+b.rest(w) ||
 			(!far && w.Zone != b.s.Zone) || !b.able(w, r, ran) {
 			return
 		}
@@ -442,7 +437,6 @@
 		b.act.After(b.askEnd-b.now, "")
 	}
 	if b.s.MayProbe {
-		look(b.home)
 		for _, w := range b.workers {
 			if b.warmth(w) < 1 {
 				look(w)
@@ -491,9 +485,6 @@
 		}
 		count++
 		l := -math.Log(1-b.chance()) / w.speed()
-		if w == b.home && len(w.out) == 0 {
-			l = -1 // of equals, the one best known
-		}
 		if best == nil || n > most || (n == most && l < luck) {
 			best, most, luck = w, n, l
 		}
@@ -501,10 +492,14 @@
 	return best, count
 }
 
-// able applies the filters: state, kind, health, the repeat group, and the budget of a cold worker.
+// avoids reports whether a worker gets no job, whatever it needs: it drains, is gone, or showed bad signs.
+func (b *Balancer) avoids(w *worker) bool {
+	return b.now < w.until || (w.fails > 1 && len(w.out) > 0) || w.State != Ready || !w.told
+}
+
+// able applies the filters: avoided workers, kind, the repeat group, and the budget of a cold worker.
 func (b *Balancer) able(w *worker, r *request, ran *attempt) bool {
-	ill := b.now < w.until || (w.fails > 1 && len(w.out) > 0)
-	if ill || w.State != Ready || !w.told || (r.c.Kind != "" && w.Kind != r.c.Kind) {
+	if b.avoids(w) || (r.c.Kind != "" && w.Kind != r.c.Kind) {
 		return false
 	}
 	if ran != nil && r.c.Effect == Keyed && (b.now-ran.sent >= r.c.Window ||
@@ -526,6 +521,9 @@
 	}
 	slots, mem := math.Round(w.rep.FreeSlots), w.rep.FreeMemory
 	capS, capM := max(math.Floor(w.capSlots*b.warmth(w)), 1), w.capMem
+	if w.rep.InHand >= 0 && w.rep.InHand < 0.5 {
+		capS = w.capSlots // alone on a cold worker a large job runs too, if more slowly
+	}
 	for _, a := range w.out {
 		if b.stuck(a) {
 			return 0 // a job of ours waits there, whatever the report says
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -788,41 +788,24 @@
 	}
 }
 
-// Balancers spread their homes evenly over the workers of their zone, also when only every third number is in
-// the zone; of equals the home is taken, but not while an own job is there, and never before larger room.
-func TestHomeWorker(t *testing.T) {
-	homes := map[string]int{}
-	s := settings()
-	s.Balancers, s.PriceProbe, s.PriceCross = 120, 0.002, 0.1
-	for me := 0; me < s.Balancers; me += 3 {
-		s.Me = me
-		b, _ := crowd(t, s, uint64(me), 20, 0)
-		homes[b.home.ID]++
-	}
-	for id, n := range homes {
-		if n > 3 {
-			t.Errorf("%s is home to %d of 40 balancers, 2 on average", id, n)
-		}
-	}
-	if len(homes) < 18 {
-		t.Errorf("only %d of 20 workers are somebody's home", len(homes))
-	}
-	for i, want := range []bool{true, false, true} {
-		b, h := crowd(t, s, uint64(i), 20, 0)
-		now := 100 * time.Second
-		if i == 1 { // with an own job there it is nothing better than others
-			b.send(&request{Request: req("r0", 1, 0), c: &s.Classes[0]}, b.home)
-		}
-		b.Accept(now, req("r", 1, 0))
-		asked := h.take("probe")
-		if asked[0] != "probe "+b.home.ID {
-			t.Fatalf("home %s was not asked first: %v", b.home.ID, asked)
-		}
-		for _, p := range asked {
-			b.Probed(now, p[len("probe "):], OK, &Report{FreeSlots: 2, FreeMemory: 9, Queue: -1, Mark: 1})
-		}
-		if got := h.take("send r "); len(got) != 1 || (got[0] == "send r "+b.home.ID) != want {
-			t.Errorf("case %d: got %v, home %s", i, got, b.home.ID)
+// A large job goes to a cold worker that runs nothing else, though it runs more slowly there; not where it would end
+// after its aim, nor beside another job.
+func TestLargeJobOnAColdWorker(t *testing.T) {
+	for _, c := range []struct {
+		work   time.Duration
+		inHand float64
+		want   string
+	}{{400 * time.Millisecond, 0, "send r w2"}, {900 * time.Millisecond, 0, ""}, {400 * time.Millisecond, 1, ""}} {
+		s := settings()
+		s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 0.4, 24*time.Second, 3, 3*time.Second
+		b, h := ready(t, s, map[string][2]float64{"w1": {0, 9}, "w2": {5, 9}})
+		b.Members(time.Second, ListChanges, []Worker{{ID: "w2", Zone: "a", State: Ready, Started: time.Second}})
+		b.Probed(time.Second, "w2", OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: c.inHand, Mark: 2})
+		r := req("r", 4, 0)
+		r.Work = c.work // half of the job's slots fit the cold worker's capacity: twice as long
+		b.Accept(time.Second, r)
+		if got := strings.Join(h.take("send"), ";"); got != c.want {
+			t.Errorf("%+v: got %q", c, got)
 		}
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -88,7 +88,6 @@
 	mute    int             // probes failed in a row, whichever the worker
 	okAt    time.Duration   // when a probe was last answered
 	endsAt  time.Duration   // when this balancer is stopped; 0 if that is not known
-	home    *worker         // the one that this balancer looks at first
 	waits   []*attempt      // sent and not ended
 	run     []float64       // learned running time by class, seconds
 	patient []time.Duration // longest patience seen by class: that of a first try
@@ -130,6 +129,16 @@
 	return 0
 }
 
+// View counts the listed workers, and those of them that get no jobs at present: avoided, or not to be probed.
+func (b *Balancer) View() (listed, excluded int) {
+	for _, w := range b.workers {
+		if b.avoids(w) || w.probeFails > 0 {
+			excluded++
+		}
+	}
+	return len(b.workers), excluded
+}
+
 // Charged is how many attempts a worker is charged with, for hosts that check their books against the balancer's.
 func (b *Balancer) Charged(worker string) int {
 	if w := b.byID[worker]; w != nil {
@@ -158,6 +167,14 @@
 	return work
 }
 
+// share is what each slot of a job gets of a core where a cold worker runs nothing else.
+func (b *Balancer) share(w *worker, r *request) float64 {
+	if w.capSlots == 0 {
+		return 1 // its size is not known
+	}
+	return min(w.capSlots*b.warmth(w)/r.Slots, 1)
+}
+
 // queued is how many jobs waited at a worker by its last report. Where reports do not tell, it is what the worker held
 // beyond one job a taken slot. Guards against slots that are free only because a large job at the head of the queue does
 // not fit: they look like room to every node, and all send there.
@@ -224,17 +241,6 @@
 	return !w.told
 }
 
-// nearby lists the ready workers of the own zone, or all where crossing is free, by their ids.
-func (b *Balancer) nearby() (near []*worker) {
-	for _, w := range b.workers {
-		if w.State == Ready && (w.Zone == b.s.Zone || b.s.PriceCross == 0) {
-			near = append(near, w)
-		}
-	}
-	slices.SortFunc(near, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
-	return near
-}
-
 // byOrder orders held jobs; of equals the earlier request comes first.
 func byOrder(x, y *request) int {
 	return cmp.Or(cmp.Compare(x.order, y.order), cmp.Compare(x.number, y.number))
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -53,7 +53,7 @@
 		{balancer, "			b.act.Cancel(r.ID, slices.Index(r.attempts, a))\n", ""}}},
 	{"refused-though-it-may-have-run", "rule 2, refusals", []Change{
 		{balancer, "return r.c.Effect == Safe || (r.c.Effect == Keyed && r.c.Scope == AllWorkers) || r.maybeRan() == nil", "return true"}}},
-	{"drain-unheard", "rule 3, a drain and a death", []Change{{balancer, "if ill || w.State != Ready || !w.told ||", "if ill || !w.told ||"}}},
+	{"drain-unheard", "rule 3, a drain and a death", []Change{{balancer, "|| w.State != Ready || !w.told\n", "|| !w.told\n"}}},
 	{"reconnect-skips-a-change", "rule 3, SIGTERM and a watch that is asked for anew", []Change{
 		{watching, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)`, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version+1)`}}},
 	{"missing-from-full-list", "rule 3, a full list that no longer names a peer", []Change{
