Control address: readiness, figures, drain and resume

Design: own package internal/control, net/http on a listener of its own, one call a connection, at most 16 callers; where all places are taken the oldest caller whose call has not come whole gives way. Figures are counted in book (answers, and attempts where the last byte is written), admit (in flight) and the module (View: peers avoided), which route copies out at most every 100 ms, so that no answer waits for the owner of the Balancer. A drain answers /ready with no, closes idle connections from 0.5 s on, tells the others that they end, and from 1.5 s on refuses what still comes; resume undoes it.

--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -69,21 +69,24 @@
 		return fmt.Errorf("log-level: %w", err)
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	reloads := make(chan *config.Config)
-	go reread(hup, reloads, log)
-	return node.Serve(ctx, machine.Real(), c, ln, log, reloads)
+	d := node.Doors{Clients: ln}
+	if c.Control != "" {
+		if d.Control, err = net.Listen("tcp", c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
+	reloads := make(chan node.Reload)
+	d.Reloads = reloads
+	go reread(hup, reloads)
+	return node.Serve(ctx, machine.Real(), c, d, log)
 }
 
 // reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
 // with what it has, and the log names the key.
-func reread(hup <-chan os.Signal, reloads chan<- *config.Config, log *slog.Logger) {
+func reread(hup <-chan os.Signal, reloads chan<- node.Reload) {
 	for range hup {
 		c, err := config.Reload(os.Getenv, os.ReadFile)
-		if err != nil {
-			log.Error("the configuration is faulty, the old one stays", "error", err)
-			continue
-		}
-		reloads <- c
+		reloads <- node.Reload{Config: c, Err: err}
 	}
 }
 
--- a/cmd/swiftdeal/main_test.go
+++ b/cmd/swiftdeal/main_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,35 +8,35 @@
 	"testing"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/node"
 )
 
 const text = `{"listen":"127.0.0.1:8080","discovery":"127.0.0.1:1","seed":"1","settings":{"profiles":[{"name":"job","aimMs":1,"deadlineMs":1,"effect":"retryable"}]}}`
 
 // A reload takes the file's discovery though the environment names another: a process cannot be told a new
-// variable. A faulty file changes nothing, and the log names the key.
+// variable. A faulty file changes nothing, and the error names the key.
 func TestReread(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	t.Setenv("GW_CONFIG", path)
 	t.Setenv("GW_DISCOVERY", "127.0.0.1:2")
-	var out bytes.Buffer
-	reload := func(text string) *config.Config {
+	reload := func(text string) node.Reload {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		hup, reloads := make(chan os.Signal, 1), make(chan *config.Config, 1)
+		hup, reloads := make(chan os.Signal, 1), make(chan node.Reload, 1)
 		hup <- syscall.SIGHUP
 		close(hup)
-		reread(hup, reloads, slog.New(slog.NewTextHandler(&out, nil)))
+		reread(hup, reloads)
 		close(reloads)
 		return <-reloads
 	}
-	if c := reload(text); c == nil || c.Discovery != "127.0.0.1:1" {
-		t.Errorf("reloaded %+v", c)
+	if r := reload(text); r.Err != nil || r.Config.Discovery != "127.0.0.1:1" {
+		t.Errorf("reloaded %+v", r)
 	}
 	if c, err := config.Load(os.Getenv, os.ReadFile); err != nil || c.Discovery != "127.0.0.1:2" {
 		t.Errorf("at a start: %+v, %v", c, err)
 	}
-	if c := reload(strings.Replace(text, `"retryable"`, `"odd"`, 1)); c != nil || !strings.Contains(out.String(), "profiles[0].effect") {
-		t.Errorf("faulty: reloaded %+v, log %s", c, &out)
+	if r := reload(strings.Replace(text, `"retryable"`, `"odd"`, 1)); r.Err == nil || !strings.Contains(r.Err.Error(), "profiles[0].effect") {
+		t.Errorf("faulty: reloaded %+v", r)
 	}
 }
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -1,9 +1,11 @@
-// Package book keeps the books: how requests ended, and how long that took. It writes them to the log
-// sparingly.
+// Package book keeps the books: how requests ended, by class too, how many tries went out, and how long requests took.
+// It writes them to the log sparingly.
 package book
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 	log    *slog.Logger
 
 	mu    sync.Mutex
+	tally map[string]*Tally // by class
 	count [request.Verdicts]int
 	lost  int           // answers that the client did not take
 	took  time.Duration // by all requests that were served
@@ -24,19 +27,77 @@
 	timer *time.Timer   // nil once the books are closed
 }
 
-// New returns the stage.
-func New(l config.Limits, log *slog.Logger) *Stage {
-	s := &Stage{limits: l, log: log}
+// Tally is what the books hold of one class, counted from the start.
+type Tally struct {
+	Class string
+	// Requests by the answer that their clients got; Failed is any that is neither a result nor a refusal. Those whose
+	// clients left first are Gone.
+	Served, Refused, Failed, Gone int64
+	Attempts                      int64 // tries written whole to peers
+}
+
+// New returns the stage. The books hold the given classes from the start.
+func New(l config.Limits, classes []string, log *slog.Logger) *Stage {
+	s := &Stage{limits: l, log: log, tally: map[string]*Tally{}}
+	s.Classes(classes)
 	s.timer = time.AfterFunc(l.BookEvery, s.tell)
 	return s
 }
 
+// Classes adds classes to the books. Those that they hold already keep their counts, also if they are not named.
+func (s *Stage) Classes(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range names {
+		if s.tally[n] == nil {
+			s.tally[n] = &Tally{Class: n}
+		}
+	}
+}
+
+// Tallies returns what the books hold of each class, in the order of their names.
+func (s *Stage) Tallies() []Tally {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Tally, 0, len(s.tally))
+	for _, t := range s.tally {
+		list = append(list, *t)
+	}
+	slices.SortFunc(list, func(a, b Tally) int { return cmp.Compare(a.Class, b.Class) })
+	return list
+}
+
+// Written books a try that has been written whole.
+func (s *Stage) Written(c *request.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.tally[c.ClassName]; t != nil {
+		t.Attempts++
+	}
+}
+
+// add books an answer. What names no class has none to be booked under.
+func (t *Tally) add(v request.Verdict) {
+	switch {
+	case t == nil:
+	case v == request.Served:
+		t.Served++
+	case v == request.Refused:
+		t.Refused++
+	case v == request.Gone:
+		t.Gone++
+	default:
+		t.Failed++
+	}
+}
+
 // Close books a request that is over; taken says whether the client took its answer.
 func (s *Stage) Close(c *request.Context, taken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := c.Answer().Verdict
 	s.count[v]++
+	s.tally[c.ClassName].add(v)
 	if !taken && v != request.Gone {
 		s.lost++
 	}
--- a/internal/book/book_test.go
+++ b/internal/book/book_test.go
@@ -16,7 +16,7 @@
 func TestBooks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		s := New(config.Limits{BookEvery: time.Minute}, slog.New(slog.NewTextHandler(&out, nil)))
+		s := New(config.Limits{BookEvery: time.Minute}, nil, slog.New(slog.NewTextHandler(&out, nil)))
 		defer s.timer.Stop()
 		for _, v := range []request.Verdict{request.Served, request.Served, request.Refused} {
 			c := request.New()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 type Config struct {
 	Name      string
 	Listen    string // address for client connections
+	Control   string // address for operators' calls; empty: none
 	Discovery string // address of discovery
 	Seed      uint64
 	Known     Group // the upstream group as this node last had it, possibly stale
@@ -25,8 +26,8 @@
 
 // file mirrors the JSON of the file that GW_CONFIG names; unknown keys are skipped.
 type file struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
+	Name, Listen, Control, Discovery, Seed string
+	Limits                                 struct {
 		Cores    float64
 		MemoryMB int64 `json:"memory_mb"`
 		Sockets  int
@@ -61,7 +62,7 @@
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
 	for variable, key := range map[string]*string{
-		"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_DISCOVERY": &f.Discovery,
+		"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_CONTROL": &f.Control, "GW_DISCOVERY": &f.Discovery,
 	} {
 		if v := getenv(variable); v != "" && !(again && key == &f.Discovery && *key != "") {
 			*key = v
@@ -77,7 +78,7 @@
 		key  string
 		same bool
 	}{
-		{"name", c.Name == to.Name}, {"listen", c.Listen == to.Listen}, {"seed", c.Seed == to.Seed},
+		{"name", c.Name == to.Name}, {"listen", c.Listen == to.Listen}, {"control", c.Control == to.Control}, {"seed", c.Seed == to.Seed},
 		{"settings", reflect.DeepEqual(c.Settings, to.Settings)}, {"limits", c.Limits == to.Limits},
 	} {
 		if !k.same {
@@ -89,7 +90,7 @@
 
 // check turns the file into a Config.
 func (f *file) check() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery}
+	c := &Config{Name: f.Name, Listen: f.Listen, Control: f.Control, Discovery: f.Discovery}
 	if c.Name == "" {
 		c.Name = "swiftdeal"
 	}
@@ -98,6 +99,11 @@
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
+	if c.Control != "" {
+		if err := address(c.Control); err != nil {
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", f.Seed)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -51,10 +51,23 @@
 	DrainLate   time.Duration // requests that come after DrainEarly are answered by then
 	DrainTotal  time.Duration // the node ends by then
 
+	// Sending clients away for a while, counted from the call.
+	AwayAfter time.Duration // by then no new clients come: those that are idle are sent away
+	AwayIdle  time.Duration // idle for so long; a connection just used may have a request on its way
+	AwayAll   time.Duration // from then on all idle ones are closed, and a request that still comes is refused
+
+	// Calls at the control address.
+	ControlConns int           // connections at once
+	ControlBytes int           // of a call's head
+	ControlRead  time.Duration // for a call to come whole
+	ControlWrite time.Duration // for a caller to take its answer
+
+	ViewEvery time.Duration // between two looks of the figures at the decision module
 	BookEvery time.Duration // between two lines of the books in the log
 }
 
-// reserved is how many descriptors are kept back for standard streams, the listener, discovery and files.
+// reserved is how many descriptors are kept back for standard streams, the listeners, calls at the control address,
+// discovery and files.
 const reserved = 48
 
 // limits derives the Limits from the file's limits and the settings.
@@ -69,7 +82,9 @@
 		// A SIGKILL may follow 3.7 s after SIGTERM; what comes later than 0.7 s must be answered before.
 		DrainEarly: 700 * time.Millisecond, DrainAccept: time.Second, DrainIdle: 2 * time.Second,
 		DrainLate: 3500 * time.Millisecond,
-		BookEvery: time.Minute,
+		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
+		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second,
+		ViewEvery: 100 * time.Millisecond, BookEvery: time.Minute,
 	}
 	if f.Limits.Cores == 0 {
 		f.Limits.Cores = 1
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,192 @@
+// Package control answers operators and their machines at a second address of the node: whether it takes clients, its
+// figures, and the calls that send clients away and take them back. It knows the form of the calls and nothing of the
+// node: what they mean is handed in.
+package control
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"swiftdeal/internal/config"
+)
+
+// Calls is what the calls ask of the node. They come from many goroutines at once and must not wait for anything
+// that load can hold up.
+type Calls interface {
+	// Ready reports whether this process takes clients.
+	Ready() bool
+	// Figures returns the node's figures.
+	Figures() []Family
+	// Drain sends clients away, and Resume takes them back. They report whether that could be done.
+	Drain() bool
+	Resume() bool
+}
+
+// Server answers calls, one a connection.
+type Server struct {
+	limits config.Limits
+	calls  Calls
+	srv    *http.Server
+	paths  map[string]call
+
+	mu   sync.Mutex
+	open []*caller // the oldest first
+	room chan struct{}
+}
+
+// call is what one path does.
+type call struct {
+	method string
+	answer func(http.ResponseWriter)
+}
+
+// caller is a connection.
+type caller struct {
+	net.Conn
+	s     *Server
+	whole bool // its call has come; guarded by mu
+}
+
+// New returns a server that does not listen yet.
+func New(l config.Limits, c Calls, log *slog.Logger) *Server {
+	s := &Server{limits: l, calls: c, room: make(chan struct{}, 1)}
+	s.paths = map[string]call{
+		"/-/ready":   {http.MethodGet, func(w http.ResponseWriter) { word(w, c.Ready()) }},
+		"/-/metrics": {http.MethodGet, s.metrics},
+		"/-/drain":   {http.MethodPost, func(w http.ResponseWriter) { word(w, c.Drain()) }},
+		"/-/resume":  {http.MethodPost, func(w http.ResponseWriter) { word(w, c.Resume()) }},
+	}
+	s.srv = &http.Server{
+		Handler: s, ReadTimeout: l.ControlRead, WriteTimeout: l.ControlRead + l.ControlWrite, MaxHeaderBytes: l.ControlBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug), DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, callerKey{}, c) },
+	}
+	s.srv.SetKeepAlivesEnabled(false)
+	return s
+}
+
+type callerKey struct{}
+
+// Serve answers calls until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	if err := s.srv.Serve(listener{ln, s}); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() { s.srv.Close() }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		s.mu.Lock()
+		c.whole = true
+		s.mu.Unlock()
+	}
+	w.Header().Set("Connection", "close")
+	p, ok := s.paths[r.URL.Path]
+	switch {
+	case !ok:
+		http.Error(w, "no such call", http.StatusNotFound)
+	case p.method != r.Method:
+		w.Header().Set("Allow", p.method)
+		http.Error(w, "this call comes by "+p.method, http.StatusMethodNotAllowed)
+	default:
+		p.answer(w)
+	}
+}
+
+// word answers yes or no.
+func word(w http.ResponseWriter, yes bool) {
+	if !yes {
+		http.Error(w, "no", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "yes\n")
+}
+
+func (s *Server) metrics(w http.ResponseWriter) {
+	var b bytes.Buffer
+	Text(&b, s.calls.Figures())
+	w.Header().Set("Content-Type", ContentType)
+	w.Write(b.Bytes())
+}
+
+// listener bounds the connections.
+type listener struct {
+	net.Listener
+	s *Server
+}
+
+// Accept implements net.Listener. Where all connections are in use, the oldest one whose call has not come whole gives
+// way: guards against callers that say nothing, or half, and would shut out all others. Whole calls are answered at
+// once, so that one of them makes room soon.
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		if c := l.s.enter(conn); c != nil {
+			return c, nil
+		}
+		timer := time.NewTimer(l.s.limits.ControlWrite)
+		select {
+		case <-l.s.room:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// enter gives a connection its place, or returns nil where there is none.
+func (s *Server) enter(conn net.Conn) *caller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := 0; len(s.open) >= s.limits.ControlConns; i++ {
+		if i == len(s.open) {
+			return nil
+		}
+		if old := s.open[i]; !old.whole {
+			s.open = append(s.open[:i], s.open[i+1:]...)
+			old.Conn.Close()
+		}
+	}
+	c := &caller{Conn: conn, s: s}
+	s.open = append(s.open, c)
+	return c
+}
+
+// CloseWrite ends sending. The server uses it so that an answer is not lost in a reset.
+func (c *caller) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *caller) Close() error {
+	c.s.mu.Lock()
+	for i, o := range c.s.open {
+		if o == c {
+			c.s.open = append(c.s.open[:i], c.s.open[i+1:]...)
+			break
+		}
+	}
+	c.s.mu.Unlock()
+	select {
+	case c.s.room <- struct{}{}:
+	default:
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"swiftdeal/internal/config"
+)
+
+// toy is a node that notes what it is told.
+type toy struct{ away, ended atomic.Bool }
+
+func (n *toy) Ready() bool  { return !n.away.Load() }
+func (n *toy) Drain() bool  { n.away.Store(true); return true }
+func (n *toy) Resume() bool { n.away.Store(false); return !n.ended.Load() }
+func (n *toy) Figures() []Family {
+	return []Family{One("gw_in_flight", "Jobs.", true, 3), {Name: "gw_served", Help: "a\\b\nc", Label: "class", Rows: []Row{{"x\"y\\z\n", 812}, {"s", 0}}}}
+}
+
+// open returns the address of a server for a toy node.
+func open(t *testing.T, n *toy, l config.Limits) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l, n, slog.New(slog.DiscardHandler))
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String()
+}
+
+// ask makes a call and returns all that comes until the connection ends.
+func ask(t *testing.T, addr, call string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: x\r\n\r\n", call)
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatalf("%s: %v", call, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if rest, _ := io.ReadAll(in); err != nil || len(rest) > 0 || !resp.Close {
+		t.Errorf("%s: more than one answer, or none whole: %v %q", call, err, rest)
+	}
+	return resp, string(body)
+}
+
+var limits = config.Limits{ControlConns: 4, ControlBytes: 1 << 10, ControlRead: time.Hour, ControlWrite: time.Hour}
+
+func TestCalls(t *testing.T) {
+	n := &toy{}
+	addr := open(t, n, limits)
+	for _, c := range []struct {
+		call  string
+		code  int
+		allow string
+		end   bool
+	}{
+		{"GET /-/ready", 200, "", false}, {"POST /-/drain", 200, "", false}, {"GET /-/ready", 503, "", false},
+		{"POST /-/drain", 200, "", false}, {"POST /-/resume", 200, "", false}, {"GET /-/ready?x=1", 200, "", false},
+		{"GET /-/drain", 405, "POST", false}, {"POST /-/ready", 405, "GET", false}, {"HEAD /-/metrics", 405, "GET", false},
+		{"GET /", 404, "", false}, {"GET /-/", 404, "", false}, {"GET /ready", 404, "", false}, {"POST /-//drain", 404, "", false},
+		{"POST /-/resume", 503, "", true},
+	} {
+		n.ended.Store(c.end)
+		if c.call[:4] == "HEAD" {
+			resp, err := http.Head("http://" + addr + "/-/metrics")
+			if err != nil || resp.StatusCode != c.code {
+				t.Errorf("%s: %v %v", c.call, resp, err)
+			}
+			continue
+		}
+		if resp, _ := ask(t, addr, c.call); resp.StatusCode != c.code || resp.Header.Get("Allow") != c.allow {
+			t.Errorf("%s: %d, Allow %q", c.call, resp.StatusCode, resp.Header.Get("Allow"))
+		}
+	}
+}
+
+// Names and classes stand as the format wants them, whatever is in them.
+func TestText(t *testing.T) {
+	resp, got := ask(t, open(t, &toy{}, limits), "GET /-/metrics")
+	want := "# HELP gw_in_flight Jobs.\n# TYPE gw_in_flight gauge\ngw_in_flight 3\n# HELP gw_served a\\\\b\\nc\n# TYPE gw_served counter\n" +
+		"gw_served{class=\"x\\\"y\\\\z\\n\"} 812\ngw_served{class=\"s\"} 0\n"
+	if got != want || resp.Header.Get("Content-Type") != ContentType {
+		t.Errorf("%q\n%s", resp.Header, got)
+	}
+	var b bytes.Buffer
+	Text(&b, []Family{{Name: "a", Label: "l", Rows: []Row{{"\xff", 1}}}})
+	if !strings.HasSuffix(b.String(), "a{l=\"\uFFFD\"} 1\n") {
+		t.Errorf("%q", b.String())
+	}
+}
+
+// Callers that say nothing, or half a call, hold no other up, however many they are and however long they stay.
+func TestSilentCallers(t *testing.T) {
+	addr := open(t, &toy{}, limits)
+	var silent []net.Conn
+	for i := range 20 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHo")
+		}
+		silent = append(silent, c)
+		if resp, _ := ask(t, addr, "GET /-/ready"); resp.StatusCode != 200 {
+			t.Fatalf("caller %d: %d", i, resp.StatusCode)
+		}
+	}
+	// The last ones are still there, and are answered once their call has come.
+	last := silent[18]
+	io.WriteString(last, "st: x\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(last), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%v %v", resp, err)
+	}
+}
+
+// FuzzCall feeds the server calls that are cut and garbled: it answers none of them twice and takes the next one.
+func FuzzCall(f *testing.F) {
+	for _, s := range []string{"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", "POST /-/drain HTTP/1.0\r\nContent-Length: 9\r\n\r\nabc", "\x00", "GET  HTTP"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		n := &toy{}
+		addr := open(t, n, limits)
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		c.(*net.TCPConn).CloseWrite()
+		io.ReadAll(c)
+		c.Close()
+		if n.away.Load() && !strings.HasPrefix(strings.TrimLeft(text, "\r\n"), "POST") {
+			t.Errorf("%q drains", text)
+		}
+		if resp, _ := ask(t, addr, "GET /-/metrics"); resp.StatusCode != 200 {
+			t.Errorf("after %q: %d", text, resp.StatusCode)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/control_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"swiftdeal/internal/config"
+)
+
+// call makes a call at the control address.
+func (w *world) call(t *testing.T, method, path string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+w.calls+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// figures waits until the figures hold all the given lines.
+func (w *world) figures(t *testing.T, want ...string) {
+	t.Helper()
+	for {
+		_, text := w.call(t, "GET", "/-/metrics")
+		missing := 0
+		for _, line := range want {
+			if !strings.Contains("\n"+text, "\n"+line+"\n") {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Sent away, a node says so at once, closes idle connections and tells the others that they end, goes on with what it
+// has taken, and takes clients back when told. Calls that are made twice change nothing.
+func TestSendAway(t *testing.T) {
+	w := start(t, func(l *config.Limits) { l.AwayAfter, l.AwayIdle, l.AwayAll = 0, 0, time.Hour })
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	ask := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	if code, _ := w.call(t, "POST", "/-/resume"); code != 200 || w.status("GET", "/ready") != 200 {
+		t.Error("a resume without a drain changes nothing")
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	idle, fromIdle := dial()
+	busy, fromBusy := dial()
+	ask(busy, "long")
+	<-w.jobs
+	w.figures(t, "gw_in_flight 1", `gw_attempts{class="job"} 1`, `gw_served{class="book"} 0`, "gw_workers_known 1", "gw_workers_excluded 0")
+	for range 2 {
+		if code, _ := w.call(t, "POST", "/-/drain"); code != 200 {
+			t.Fatalf("drain: %d", code)
+		}
+		if code, _ := w.call(t, "GET", "/-/ready"); code != 503 || w.status("GET", "/ready") != 503 {
+			t.Error("ready while clients are sent away")
+		}
+	}
+	if _, err := fromIdle.ReadByte(); err != io.EOF {
+		t.Errorf("idle: %v", err)
+	}
+	idle.Close()
+	late, fromLate := dial()
+	ask(late, "late")
+	<-w.jobs
+	w.done <- "result"
+	w.done <- "result"
+	for _, in := range []*bufio.Reader{fromBusy, fromLate} {
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%v %v", resp, err)
+		}
+	}
+	if code, _ := w.call(t, "POST", "/-/resume"); code != 200 || w.status("GET", "/ready") != 200 {
+		t.Error("not ready after resume")
+	}
+	again, fromAgain := dial()
+	ask(again, "again")
+	w.done <- "result"
+	if resp, err := http.ReadResponse(fromAgain, nil); err != nil || resp.StatusCode != 200 || resp.Close {
+		t.Errorf("%v %v", resp, err)
+	}
+	w.figures(t, "gw_in_flight 0", `gw_attempts{class="job"} 3`, `gw_served{class="job"} 3`, `gw_failed{class="job"} 0`)
+	// SIGTERM in a drain ends the process as ever; it takes no clients back.
+	w.call(t, "POST", "/-/drain")
+	w.stop()
+	again.Close()
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Once clients have had time to go, a request that still comes is refused at once, and its connection ends.
+func TestSentAwayForLong(t *testing.T) {
+	w := start(t, func(l *config.Limits) { l.AwayAfter, l.AwayAll = time.Hour, time.Millisecond })
+	w.call(t, "POST", "/-/drain")
+	time.Sleep(2 * time.Millisecond)
+	resp, _, err := w.do("POST", "/job", "", "X-Request-Id", "r")
+	if err != nil || resp.StatusCode != 503 || !resp.Close || len(w.jobs) > 0 {
+		t.Errorf("%v %v", resp, err)
+	}
+	w.figures(t, `gw_refused{class="job"} 1`, `gw_attempts{class="job"} 0`)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"swiftdeal/internal/admit"
 	"swiftdeal/internal/book"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/control"
 	"swiftdeal/internal/machine"
 	"swiftdeal/internal/relay"
 	"swiftdeal/internal/request"
@@ -32,69 +33,113 @@
 	relay    *relay.Stage
 	book     *book.Stage
 	conns    *connections
-	draining atomic.Bool
+	standing standing
 	log      *slog.Logger
+
+	reloadsOK, reloadsFailed atomic.Int64
+}
+
+// Doors is where a node is spoken to.
+type Doors struct {
+	Clients net.Listener
+	Control net.Listener  // nil: no calls are answered
+	Reloads <-chan Reload // nil: none come
+}
+
+// Reload is the configuration read again, or what is wrong with it.
+type Reload struct {
+	Config *config.Config
+	Err    error
 }
 
 // Serve runs a node on the listener until the context ends, and then drains it. Each new configuration that
 // comes meanwhile, also while it drains, is put into effect. When it returns, nothing that it has started goes on.
-func Serve(ctx context.Context, m machine.Machine, c *config.Config, ln net.Listener, log *slog.Logger, reloads <-chan *config.Config) error {
+func Serve(ctx context.Context, m machine.Machine, c *config.Config, d Doors, log *slog.Logger) error {
 	s := c.Settings.Balance
 	s.MustAsk = true // over sockets no list comes unasked, whatever the settings say of the simulator's
-	r, err := route.New(s, c.Seed, m.Order, log)
+	viewEvery := c.Limits.ViewEvery
+	if d.Control == nil { // nobody asks
+		viewEvery = 0
+	}
+	r, err := route.New(s, c.Seed, viewEvery, m.Order, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	n := &Node{
 		limits: c.Limits, route: r, conns: newConnections(c.Limits),
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
-		relay: relay.New(c.Limits), book: book.New(c.Limits, log), log: log,
+		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
-	peers, group := send.New(c.Limits, c.Settings, m.Dial, r), upstream.New(c.Limits, m.Dial, c.Discovery, c.Known.Version, r)
+	peers, group := send.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), upstream.New(c.Limits, m.Dial, c.Discovery, c.Known.Version, r)
 	defer peers.Close()
 	defer group.Close()
 	defer n.book.End()
 	go r.Run(work, peers, group)
 	r.Listed(balance.ListCached, c.Known)
-	go n.reload(work, c, reloads)
+	go n.reload(work, c, d.Reloads)
 	srv := &http.Server{
 		Handler: n, ReadHeaderTimeout: c.Limits.HeadWait, IdleTimeout: c.Limits.IdleWait, MaxHeaderBytes: c.Limits.HeaderBytes,
 		ConnState: n.conns.note, ConnContext: n.conns.mark, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		DisableGeneralOptionsHandler: true,
 	}
-	log.Info("serving", "name", c.Name, "listen", ln.Addr(), "peers", len(c.Known.Peers))
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(n.conns.listen(ln)) }()
+	log.Info("serving", "name", c.Name, "listen", d.Clients.Addr(), "peers", len(c.Known.Peers))
+	failed := make(chan error, 2)
+	go func() { failed <- srv.Serve(n.conns.listen(d.Clients)) }()
+	if d.Control != nil {
+		calls := control.New(c.Limits, n, log)
+		defer calls.Close()
+		go func() {
+			if err := calls.Serve(d.Control); err != nil {
+				failed <- fmt.Errorf("control: %w", err)
+			}
+		}()
+	}
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
 	log.Info("draining", "open", n.admit.Open(), "connections", n.conns.count())
-	n.drain(ln)
+	n.drain(d.Clients)
 	srv.Close()
 	log.Info("drained", "open", n.admit.Open())
 	return nil
 }
 
 // reload puts new configurations into effect, one after the other.
-func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan *config.Config) {
+func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan Reload) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case to := <-reloads:
+		case r := <-reloads:
+			to := r.Config
+			if r.Err != nil {
+				n.log.Error("the configuration is faulty, the old one stays", "error", r.Err)
+				n.reloadsFailed.Add(1)
+				continue
+			}
 			if keys := c.NeedsRestart(to); len(keys) > 0 {
 				n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
 			}
 			n.log.Info("configuration read again", "discovery", to.Discovery)
 			n.route.Moved(to.Discovery) // also if it is the same: the operator may want it asked anew
+			n.reloadsOK.Add(1)
 		}
 	}
 }
 
+// events takes what becomes of tries and probes: to route, and what was written to the books.
+type events struct {
+	*route.Stage
+	book *book.Stage
+}
+
+// Written implements send.Events.
+func (e events) Written(c *request.Context) { e.book.Written(c) }
+
 // ServeHTTP passes one request along the chain.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if takein.Ready(r) {
@@ -102,10 +147,13 @@
 		return
 	}
 	c, admitted, spare := n.takein.Read(w, r), false, n.conns.spare(r.Context())
+	leaving, away := n.standing.leaving()
 	select {
 	case <-c.Ended():
 	default:
-		if spare {
+		if away >= n.limits.AwayAll {
+			c.Finish(request.Answer{Verdict: request.Refused, Reason: "clients are sent away"})
+		} else if spare {
 			// Guards against running out of descriptors: past the cap a client gets an answer, not a reset.
 			c.Finish(request.Answer{Verdict: request.Refused, Reason: "too many connections", Wait: n.limits.RefusedFor})
 		} else if admitted = n.admit.Enter(c); admitted {
@@ -125,22 +173,19 @@
 	taken := false
 	defer func() { n.book.Close(c, taken) }() // also when relay drops the connection
 	a := c.Answer()
+	leaving, _ = n.standing.leaving() // by now
 	// A client that breaks the protocol keeps no connection. The server then neither waits for the rest of a body
 	// before it sends the answer, nor reads on in what may be no request.
-	taken = n.relay.Write(w, a, n.draining.Load() || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
+	taken = n.relay.Write(w, a, leaving || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
 }
 
 // ready answers whether clients may come: there is a list of peers, and the node is not about to end.
 func (n *Node) ready(w http.ResponseWriter) {
 	code := http.StatusServiceUnavailable
-	select {
-	case <-n.route.Held():
-		if !n.draining.Load() {
-			code = http.StatusOK
-		}
-	default:
+	if n.Ready() {
+		code = http.StatusOK
 	}
-	if n.draining.Load() {
+	if leaving, _ := n.standing.leaving(); leaving {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(code)
@@ -150,7 +195,7 @@
 // a while: closing the listener resets those that wait to be accepted. Open ones are told with the next
 // answer; those that stay idle are closed, since a client that does not use them will not miss them.
 func (n *Node) drain(ln net.Listener) {
-	n.draining.Store(true)
+	n.standing.end()
 	start := time.Now()
 	end := start.Add(n.limits.DrainTotal)
 	time.Sleep(n.limits.DrainEarly)
@@ -160,13 +205,13 @@
 	n.route.Ends(start.Add(n.limits.DrainLate))
 	time.Sleep(time.Until(start.Add(n.limits.DrainAccept)))
 	ln.Close()
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
+	every := time.NewTicker(tick)
+	defer every.Stop()
 	for time.Now().Before(end) {
 		n.conns.closeIdle(n.limits.DrainIdle)
 		if n.admit.Open() == 0 && n.conns.count() == 0 {
 			return
 		}
-		<-tick.C
+		<-every.C
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 // world is a node between a toy peer and a toy discovery, all on loopback.
 type world struct {
 	addr  string
+	calls string     // the control address
 	stop  func()     // what SIGTERM does
 	ended chan error // how Serve ended
 	jobs  chan string
@@ -27,11 +28,11 @@
 	done  chan string   // what the peer answers a job with
 
 	config  *config.Config
-	reloads chan *config.Config
+	reloads chan Reload
 }
 
 func start(t *testing.T, change func(*config.Limits)) *world {
-	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), reloads: make(chan *config.Config)}
+	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), reloads: make(chan Reload)}
 	peer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/status/load" {
 			fmt.Fprint(rw, "TEXT x0=4.0, x1=4.0")
@@ -78,7 +79,14 @@
 	w.config = c
 	ctx, stop := context.WithCancel(t.Context())
 	w.addr, w.stop = ln.Addr().String(), stop
-	go func() { w.ended <- Serve(ctx, machine.Real(), c, ln, slog.New(slog.DiscardHandler), w.reloads) }()
+	calls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.calls = calls.Addr().String()
+	go func() {
+		w.ended <- Serve(ctx, machine.Real(), c, Doors{Clients: ln, Control: calls, Reloads: w.reloads}, slog.New(slog.DiscardHandler))
+	}()
 	for w.status("GET", "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
 	}
@@ -131,7 +139,7 @@
 			<-w.jobs
 			w.stop()
 		}
-		w.reloads <- &to
+		w.reloads <- Reload{Config: &to}
 		// The version comes with the answer, which may be on its way yet when the next address is told.
 		if got := <-asked; !strings.HasPrefix(got, fmt.Sprint(i, " /v1/endpoints?follow=1&since=")) || strings.HasSuffix(got, "=0") {
 			t.Errorf("reload %d: asked %s", i, got)
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -101,7 +101,7 @@
 	c.Limits.DrainEarly, c.Limits.DrainAccept, c.Limits.DrainIdle = 0, time.Millisecond, time.Millisecond
 	ctx, stop := context.WithCancel(t.Context())
 	over := make(chan error, 1)
-	go func() { over <- Serve(ctx, machine.Real(), c, ln, slog.New(slog.DiscardHandler), nil) }()
+	go func() { over <- Serve(ctx, machine.Real(), c, Doors{Clients: ln}, slog.New(slog.DiscardHandler)) }()
 	clients := standin.NewClients(s, r, r, 1)
 	shapes := []standin.Shape{standin.Plain, standin.Pieces, standin.Chunked}
 	s.Do(func() {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"swiftdeal/balance"
@@ -50,13 +51,21 @@
 	holds    bool
 	wake     func() // posts tick; both are made once, as the Balancer is woken for every try
 	tick     func()
+
+	viewed          time.Time // when the figures of the group were last taken
+	viewEvery       time.Duration
+	viewNext        bool   // they will be taken again
+	look            func() // posts that; made once
+	known, excluded atomic.Int64
 }
 
-// New returns the stage, or an error that names the setting that cannot be right.
-func New(s balance.Settings, seed uint64, order machine.Order, log *slog.Logger) (*Stage, error) {
-	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, start: time.Now(), held: make(chan struct{})}
+// New returns the stage, or an error that names the setting that cannot be right. The figures of the upstream group are
+// taken at most every viewEvery; never if that is 0.
+func New(s balance.Settings, seed uint64, viewEvery time.Duration, order machine.Order, log *slog.Logger) (*Stage, error) {
+	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, viewEvery: viewEvery, start: time.Now(), held: make(chan struct{})}
 	r.tick = func() { r.b.Timer(r.now(), "") }
 	r.wake = func() { r.box.post(machine.Source{Kind: machine.Timer}, r.tick) }
+	r.look = func() { r.box.post(machine.Source{Kind: machine.Timer}, func() { r.viewNext = false }) }
 	var err error
 	r.b, err = balance.New(s, seed, r)
 	if err == nil && order != nil {
@@ -80,6 +89,7 @@
 			for _, e := range r.box.take() {
 				e.run()
 			}
+			r.view()
 		}
 	}
 }
@@ -93,9 +103,30 @@
 			return
 		}
 		e.run()
+		r.view()
+	}
+}
+
+// view takes the figures of the upstream group now and then. Guards against readers of the figures that would wait for
+// the owner of the Balancer where that is busy.
+func (r *Stage) view() {
+	if r.viewEvery == 0 || r.viewNext {
+		return
+	}
+	if left := r.viewEvery - time.Since(r.viewed); left > 0 { // what has happened since shows then
+		r.viewNext = true
+		time.AfterFunc(left, r.look)
+		return
 	}
+	known, excluded := r.b.View()
+	r.viewed = time.Now()
+	r.known.Store(int64(known))
+	r.excluded.Store(int64(excluded))
 }
 
+// View returns how many peers the upstream group holds, and how many of them get no jobs. It does not wait.
+func (r *Stage) View() (known, excluded int64) { return r.known.Load(), r.excluded.Load() }
+
 // now is the Balancer's clock: Unix time at the start plus what has passed since, so that it only goes
 // forward and yet compares with the start times that discovery tells.
 func (r *Stage) now() time.Duration {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -37,7 +37,7 @@
 	r, err := New(balance.Settings{
 		MayCancel: true, MustAsk: true, MaxAttempts: 4, DialTimeout: time.Second,
 		Classes: []balance.Class{{Name: "job", Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1}},
-	}, 1, nil, slog.New(slog.DiscardHandler))
+	}, 1, 0, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/send/exchange.go
+++ b/internal/send/exchange.go
@@ -58,8 +58,9 @@
 	return ctx
 }
 
-// run sends the request over a connection of the pool. The connection's reader ends the exchange.
-func (x *exchange) run(ctx context.Context, p *pool, at place, head, body []byte) {
+// run sends the request over a connection of the pool, and reports whether it was written whole. The connection's
+// reader ends the exchange.
+func (x *exchange) run(ctx context.Context, p *pool, at place, head, body []byte) (whole bool) {
 	c, err := p.open(ctx, x, at)
 	if err != nil {
 		if errors.Is(err, errFull) {
@@ -67,7 +68,7 @@
 		} else if ctx.Err() == nil { // else the context's end has told already
 			x.end(ending{result: balance.ConnectFailed})
 		}
-		return
+		return false
 	}
 	x.mu.Lock()
 	x.conn = c
@@ -75,7 +76,7 @@
 	x.mu.Unlock()
 	if ended {
 		c.Close()
-		return
+		return false
 	}
 	// One call writes both, so that the body is not copied to stand behind its head.
 	_, err = (&net.Buffers{head, body}).WriteTo(c.Conn)
@@ -89,6 +90,7 @@
 	} else if broke {
 		x.end(ending{result: balance.Reset})
 	}
+	return err == nil
 }
 
 // broken takes the end of the connection. While the request is being written, its writer tells what that
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -23,6 +23,7 @@
 // Events is told what becomes of tries and probes.
 type Events interface {
 	Advanced(id string, attempt int, kind balance.NoteKind, share float64)
+	Written(c *request.Context) // its last byte is on its way
 	Ended(o balance.Outcome, result string)
 	Probed(peer string, res balance.Result, rep *balance.Report)
 }
@@ -61,7 +62,11 @@
 		}, e.text)
 	}
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
-	go func() { x.run(ctx, s.pool, at, head(c), c.Body) }()
+	go func() {
+		if x.run(ctx, s.pool, at, head(c), c.Body) {
+			s.events.Written(c)
+		}
+	}()
 	return func() { x.cancel(errCancelled) }
 }
 
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -89,6 +89,7 @@
 
 func (e events) Advanced(_ string, _ int, k balance.NoteKind, _ float64) { e.notes <- k }
 func (e events) Ended(o balance.Outcome, text string)                    { e.ends <- ended{o, text} }
+func (e events) Written(*request.Context)                                {}
 func (e events) Probed(peer string, r balance.Result, rep *balance.Report) {
 	e.ends <- ended{balance.Outcome{Worker: peer, Result: r, Report: rep}, "probe"}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,15 @@
 	MaxOpen int           // requests that may be open at once; 0 if not told
 }
 
+// ClassNames returns the names of the classes in their order.
+func (s Settings) ClassNames() []string {
+	names := make([]string, len(s.Balance.Classes))
+	for i, c := range s.Balance.Classes {
+		names[i] = c.Name
+	}
+	return names
+}
+
 // options mirrors the keys that are used; unknown keys are skipped.
 type options struct {
 	Az         string
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"swiftdeal/internal/node"
 	"swiftdeal/internal/standin"
 )
 
@@ -242,7 +243,7 @@
 	reloads := n.reloads
 	go func() {
 		select {
-		case reloads <- &to:
+		case reloads <- node.Reload{Config: &to}:
 		case <-n.over:
 		}
 	}()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -101,7 +101,7 @@
 	ln      *listener
 	stop    context.CancelFunc
 	ended   chan error
-	reloads chan *config.Config
+	reloads chan node.Reload
 	turn    chan struct{}
 	charges func(peer string) int
 	up      bool // its process runs
@@ -674,7 +674,7 @@
 	n.life++
 	n.conf = &conf
 	n.up, n.links, n.began, n.over = true, map[*link]bool{}, w.now(), make(chan struct{})
-	n.ln, n.ended, n.reloads, n.turn = newListener(n), make(chan error, 1), make(chan *config.Config), make(chan struct{})
+	n.ln, n.ended, n.reloads, n.turn = newListener(n), make(chan error, 1), make(chan node.Reload), make(chan struct{})
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	log := slog.New(slog.DiscardHandler)
@@ -683,7 +683,7 @@
 	}
 	ln, ended := n.ln, n.ended
 	go func() {
-		err := node.Serve(ctx, machine.Machine{Dial: n.dial, Order: simOrder{n}}, &conf, ln, log, n.reloads)
+		err := node.Serve(ctx, machine.Machine{Dial: n.dial, Order: simOrder{n}}, &conf, node.Doors{Clients: ln, Reloads: n.reloads}, log)
 		ended <- err
 		w.signal()
 	}()
