--- a/balance/balance.go
+++ b/balance/balance.go
@@ -143,8 +143,8 @@
 	a.w.paceAt, a.share, a.shareAt = b.now, share, b.now
 }
 
-// slow reports whether a job would miss its aim on a worker: time is one more resource that it lacks. It goes by
-// the pace last seen there, and by what the slots of a large job get of a cold worker's capacity.
+// slow reports whether a job would miss its aim on a worker: time is one more resource that it lacks. It goes
+// by the pace last seen there, and by what the slots of a large job get of a cold worker's capacity.
 func (b *Balancer) slow(w *worker, r *request) bool {
 	pace, share := b.usual, b.share(w, r)
 	if b.now-w.paceAt <= paceFor && w.pace > 0 {
