Replace the process without a gap: the old one hands socket, connections and knowledge over

Design: internal/handover. The new process finds the old one by a Unix socket in a private folder of TMPDIR, gets the listening socket, the upstream group and, once it is ready, what the decision module has learned (sends of late, reports, who is cold or ill); from then on the old one accepts nothing and passes each client connection as it becomes idle. Just one process accepts at any time (Turn, a module without I/O); if the new one dies, the old one takes its place again. Both keep to half of the node's limits. A connection is given away, or closed as idle, by its own reader: no byte that has come can be lost (takein.Conn.Give). That mends closeIdle too, which could cut a request that had just been read. Both listeners set SO_REUSEPORT where no link can be had. Not taken: SO_REUSEPORT alone (closing one listener resets what waits in its queue, and two processes decide side by side); a file of state (says nothing of what happens after it was written).

--- /dev/null
+++ b/balance/know.go
@@ -0,0 +1,115 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// What a balancer has learned, handed from the process that is replaced to the one that takes its place. Nothing here
+// decides. Times are the clock's, which both read.
+
+// Knowledge is what a balancer knows beyond the list of workers.
+type Knowledge struct {
+	Workers      []Known
+	Slots        map[string]float64 // the most slots seen free at a worker of each kind
+	Pace, Quick  time.Duration
+	Delay, Usual float64
+	RateN, RateT float64
+	LastRequest  time.Duration
+}
+
+// Known is what a balancer knows of one worker.
+type Known struct {
+	ID                                 string
+	Started                            time.Duration
+	Reported                           bool
+	Report                             Report
+	Measured                           time.Duration
+	MostSlots, MostMemory, Guess, Pace float64
+	PaceAt, Until, Probed              time.Duration
+	Fails, ProbeFails                  int
+	Mute                               bool
+	Events                             []Change
+}
+
+// Change is a send (slots and memory below zero) or the end of one.
+type Change struct {
+	At                  time.Duration
+	Slots, Memory, Work float64
+}
+
+// Know returns what the balancer has learned.
+func (b *Balancer) Know() Knowledge {
+	k := Knowledge{
+		Slots: b.slots, Pace: b.pace, Quick: b.quick, Delay: b.delay, Usual: b.usual, RateN: b.rateN, RateT: b.rateT, LastRequest: b.lastReq,
+	}
+	for _, w := range b.workers {
+		o := Known{
+			ID: w.ID, Started: w.Started, Reported: w.reported, Report: w.rep, Measured: w.measured, MostSlots: w.capSlots,
+			MostMemory: w.capMem, Guess: w.guess, Pace: w.pace, PaceAt: w.paceAt, Until: w.until, Probed: w.probed,
+			Fails: w.fails, ProbeFails: w.probeFails, Mute: w.mute,
+		}
+		for _, e := range w.events {
+			o.Events = append(o.Events, Change{e.at, e.slots, e.memory, e.work})
+		}
+		k.Workers = append(k.Workers, o)
+	}
+	return k
+}
+
+// Learn takes over what another balancer of the same settings has learned. A value that cannot be right is left out, and
+// so is a worker that the list does not name, or that has started anew since.
+func (b *Balancer) Learn(now time.Duration, k Knowledge) {
+	b.now = now
+	right := func(v, least, most float64) bool { return v >= least && v <= most }
+	if right(float64(k.Pace), float64(b.s.DialTimeout)/8, float64(8*b.s.DialTimeout)) {
+		b.pace = k.Pace
+	}
+	if right(float64(k.Quick), 0, float64(b.s.DialTimeout)) && right(k.Usual, 0.01, 100) && right(k.Delay, 0, 3600) {
+		b.quick, b.usual, b.delay = k.Quick, k.Usual, k.Delay
+	}
+	if right(k.RateN, 0, 1e9) && right(k.RateT, 0, 1e9) && k.LastRequest <= now {
+		b.rateN, b.rateT, b.lastReq = k.RateN, k.RateT, k.LastRequest
+	}
+	for kind, n := range k.Slots {
+		if right(n, 0, math.MaxInt32) {
+			b.slots[kind] = max(b.slots[kind], n)
+		}
+	}
+	for _, o := range k.Workers {
+		w := b.byID[o.ID]
+		sound := right(o.MostSlots, 0, math.MaxInt32) && right(o.MostMemory, 0, math.MaxInt32) && right(o.Guess, 0, 1e6) &&
+			right(o.Pace, 0, 1e6) && right(o.Report.FreeSlots, 0, math.MaxInt32) && !math.IsNaN(o.Report.FreeMemory+o.Report.Queue+o.Report.InHand) &&
+			o.Measured <= now && o.Probed <= now && right(float64(o.Fails), 0, 1e6) && right(float64(o.ProbeFails), 0, 1e6)
+		if w == nil || !sound || o.Started < w.Started {
+			continue
+		}
+		w.Started = o.Started // a restart that a probe has shown
+		w.fails, w.probeFails, w.mute, w.probed = o.Fails, o.ProbeFails, o.Mute, o.Probed
+		w.until = min(o.Until, now+time.Minute)
+		w.guess, w.pace, w.paceAt = max(o.Guess, 1), o.Pace, min(o.PaceAt, now)
+		w.capSlots, w.capMem = max(w.capSlots, o.MostSlots), max(w.capMem, o.MostMemory)
+		if o.Reported {
+			w.reported, w.rep, w.measured = true, o.Report, o.Measured
+			w.marks[o.Report.Mark] = now
+		}
+		w.events = slices.DeleteFunc(w.events, func(event) bool { return true })
+		for _, c := range o.Events {
+			if c.At <= now && right(math.Abs(c.Slots), 0, 1e6) && right(math.Abs(c.Memory), 0, 1e6) && right(c.Work, 0, 1e6) {
+				w.events = append(w.events, event{c.At, c.Slots, c.Memory, c.Work})
+			}
+		}
+	}
+	b.tend()
+}
+
+// Yield says whether another process has this balancer's place among those that may send to cold workers: what it still
+// holds goes to warm ones.
+func (b *Balancer) Yield(now time.Duration, yes bool) {
+	b.now, b.yielded = now, yes
+	for _, w := range b.byID {
+		w.turn = b.turn(w.ID)
+	}
+	b.tend()
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -87,6 +88,7 @@
 	held    []*request
 	mute    int             // probes failed in a row, whichever the worker
 	okAt    time.Duration   // when a probe was last answered
+	yielded bool            // another process has its place
 	endsAt  time.Duration   // when this balancer is stopped; 0 if that is not known
 	waits   []*attempt      // sent and not ended
 	run     []float64       // learned running time by class, seconds
@@ -297,10 +299,7 @@
 		w = &worker{marks: map[uint64]time.Duration{}, guess: 1, heard: b.now, rep: Report{Queue: -1}}
 		b.byID[m.ID] = w
 		w.probed, w.jitter = b.now, b.chance()/4
-		h := fnv.New32a()
-		h.Write([]byte(m.ID))
-		n := uint32(b.s.Balancers)
-		w.turn = int((uint32(b.s.Me)%n + n - h.Sum32()%n) % n)
+		w.turn = b.turn(m.ID)
 	} else if m.Started > w.Started { // restarted: what was known of it is void
 		w.restarted()
 		w.probed = 0 // probe at once
@@ -323,6 +322,18 @@
 	}
 }
 
+// turn is this balancer's place among those that may send to a worker while it is cold, the last of all once it has
+// yielded.
+func (b *Balancer) turn(id string) int {
+	if b.yielded {
+		return math.MaxInt32
+	}
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := uint32(b.s.Balancers)
+	return int((uint32(b.s.Me)%n + n - h.Sum32()%n) % n)
+}
+
 // check names the setting that cannot be right.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
--- /dev/null
+++ b/cmd/swiftdeal/listen.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/handover"
+	"swiftdeal/internal/node"
+)
+
+// listen opens the node's doors. A process that serves clients already, as one that is to be replaced does, hands its
+// listening socket over; where it cannot, both listen side by side.
+func listen(ctx context.Context, c *config.Config, log *slog.Logger) (d node.Doors, err error) {
+	if c.Control == "" {
+		if d.Clients, err = net.Listen("tcp", c.Listen); err != nil {
+			return d, fmt.Errorf("listen: %w", err)
+		}
+		return d, nil
+	}
+	if d.Control, err = net.Listen("tcp", c.Control); err != nil {
+		return d, fmt.Errorf("control: %w", err)
+	}
+	dir := os.Getenv("TMPDIR")
+	link, err := handover.Find(dir, c.Listen, c.Limits.HandWait)
+	if err == nil {
+		d.Prior, d.Clients, err = handover.Ask(link, c.Listen, c.Limits.HandWait)
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		log.Warn("no process hands over", "why", err)
+	}
+	if d.Clients == nil {
+		if d.Clients, err = beside(ctx, c); err != nil {
+			return d, fmt.Errorf("listen: %w", err)
+		}
+	}
+	if d.Heirs, err = handover.Listen(dir, c.Listen, c.Limits.HandWait); err != nil {
+		log.Warn("this process cannot be replaced without a gap", "why", err)
+		d.Heirs = nil
+	}
+	return d, nil
+}
+
+// beside listens where another process may listen too. One that does not allow that is waited for: it is about to end.
+func beside(ctx context.Context, c *config.Config) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Where the machine refuses, the node listens alone.
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+	}}
+	for end := time.Now().Add(c.Limits.BindWait); ; {
+		ln, err := lc.Listen(ctx, "tcp", c.Listen)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(end) {
+			return ln, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -20,13 +20,19 @@
 	late    func(*request.Context) // told of a request that the backstop has answered
 
 	mu   sync.Mutex
-	end  time.Time              // while the node drains: when what still comes must be answered
-	open map[string]*time.Timer // the backstop of each open request, by id
+	end  time.Time            // while the node drains: when what still comes must be answered
+	open map[string]*backstop // of each open request, by id
+}
+
+// backstop answers a request if nothing else has.
+type backstop struct {
+	*time.Timer
+	at time.Time
 }
 
 // New returns the stage.
 func New(l config.Limits, classes []balance.Class, late func(*request.Context)) *Stage {
-	s := &Stage{limits: l, classes: classes, byName: map[string]int{}, late: late, open: map[string]*time.Timer{}}
+	s := &Stage{limits: l, classes: classes, byName: map[string]int{}, late: late, open: map[string]*backstop{}}
 	for i, c := range classes {
 		s.byName[c.Name] = i
 	}
@@ -63,11 +69,12 @@
 		return false
 	}
 	// Guards against a request that no stage answers: whatever goes wrong, the client hears of it in time.
-	s.open[c.ID] = time.AfterFunc(time.Until(c.Deadline.Add(-s.limits.AnswerMargin)), func() {
+	at := c.Deadline.Add(-s.limits.AnswerMargin)
+	s.open[c.ID] = &backstop{at: at, Timer: time.AfterFunc(time.Until(at), func() {
 		if c.Finish(request.Answer{Verdict: request.Failed, Reason: "out of time"}) {
 			s.late(c)
 		}
-	})
+	})}
 	return true
 }
 
@@ -86,6 +93,19 @@
 	}
 }
 
+// Expire has all that is open answered by the given time: the node will not live longer.
+func (s *Stage) Expire(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := end.Add(-s.limits.AnswerMargin - s.limits.GiveUp/2) // a moment for the answers to go out
+	for _, b := range s.open {
+		if at.Before(b.at) && b.Stop() {
+			b.at = at
+			b.Reset(time.Until(at))
+		}
+	}
+}
+
 // Drain says by when what is admitted from now on must be answered: the node may not live longer.
 func (s *Stage) Drain(end time.Time) {
 	s.mu.Lock()
@@ -93,6 +113,13 @@
 	s.end = end
 }
 
+// Resize sets how many requests may be open.
+func (s *Stage) Resize(open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.OpenRequests = open
+}
+
 // Open is the number of open requests.
 func (s *Stage) Open() int {
 	s.mu.Lock()
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -62,10 +62,23 @@
 	ControlRead  time.Duration // for a call to come whole
 	ControlWrite time.Duration // for a caller to take its answer
 
+	// Replacing a process by another one.
+	HandWait time.Duration // for a message to come, or to be taken
+	GiveUp   time.Duration // the replaced process gives up what is open so long before it must have ended
+	BindWait time.Duration // for a listener's address that another process still holds
+
 	ViewEvery time.Duration // between two looks of the figures at the decision module
 	BookEvery time.Duration // between two lines of the books in the log
 }
 
+// Half returns the limits of one of two processes that share what one node may use, while one replaces the other.
+func (l Limits) Half() Limits {
+	l.MemoryBytes /= 2
+	l.ClientConns, l.SpareConns, l.PeerConns = max(l.ClientConns/2, 1), max(l.SpareConns/2, 1), max(l.PeerConns/2, 1)
+	l.OpenRequests = max(l.OpenRequests/2, 1)
+	return l
+}
+
 // reserved is how many descriptors are kept back for standard streams, the listeners, calls at the control address,
 // discovery and files.
 const reserved = 48
@@ -84,6 +97,7 @@
 		DrainLate: 3500 * time.Millisecond,
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
 		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second,
+		HandWait: time.Second, GiveUp: 200 * time.Millisecond, BindWait: 15 * time.Second,
 		ViewEvery: 100 * time.Millisecond, BookEvery: time.Minute,
 	}
 	if f.Limits.Cores == 0 {
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,69 @@
+package handover
+
+import (
+	"net"
+	"time"
+
+	"swiftdeal/internal/config"
+)
+
+// Link is a connection between two processes of the node. One goroutine may receive while others send.
+type Link interface {
+	// Send sends a message and, beside it, passes a *net.TCPConn or a *net.TCPListener, or what stands for one in a
+	// simulation; nil passes nothing. It takes at most as long as the link was set up to wait.
+	Send(m Message, pass any) error
+	// Receive returns the next message and the listener or connection that came with it: a net.Listener, a net.Conn, or
+	// nil. It fails after wait, if that is not 0, and at the end of the link.
+	Receive(wait time.Duration) (m Message, passed any, err error)
+	Close() error
+}
+
+// Heirs is where processes that want to take over come.
+type Heirs interface {
+	// Open lets them come. Before, they go to the process that this one replaces.
+	Open() error
+	// Accept returns the next one's link, or an error once Heirs is closed.
+	Accept() (Link, error)
+	Close() error
+}
+
+// Prior is the process that is to be replaced: its link, and the upstream group that it holds.
+type Prior struct {
+	Link  Link
+	Group config.Group
+}
+
+// Ask asks a process for a handover. It returns what that tells, and its listening socket. Where there is to be none, the
+// link is closed.
+func Ask(l Link, listen string, wait time.Duration) (p *Prior, ln net.Listener, err error) {
+	defer func() {
+		if err != nil {
+			l.Close()
+		}
+	}()
+	if err := l.Send(Message{Kind: Hello, Version: Version, Listen: listen}, nil); err != nil {
+		return nil, nil, err
+	}
+	m, passed, err := l.Receive(wait)
+	if err != nil {
+		return nil, nil, err
+	}
+	ln, ok := passed.(net.Listener)
+	if m.Kind != Welcome || m.Version != Version || m.Group == nil || !ok {
+		if ok {
+			ln.Close()
+		}
+		return nil, nil, refusal{m}
+	}
+	return &Prior{l, *m.Group}, ln, nil
+}
+
+// refusal is an answer that is no welcome.
+type refusal struct{ m Message }
+
+func (r refusal) Error() string {
+	if r.m.Kind == Refused {
+		return "refused: " + r.m.Reason
+	}
+	return "answered with a message of kind " + string(r.m.Kind) + " that is not whole or of another version"
+}
--- /dev/null
+++ b/internal/handover/message.go
@@ -0,0 +1,93 @@
+// Package handover lets a process of the node take the place of another one on the same machine while clients go on
+// being served: the two speak over a link, on which the old one passes its listening socket, what it knows, and its
+// clients' connections as they become idle. Turn settles whose turn it is to take clients; the rest carries messages.
+package handover
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+)
+
+// Version is the protocol's. Processes of different versions do not hand over.
+const Version = 1
+
+// Kind is the kind of a message.
+type Kind string
+
+// Kinds of message, in the order in which they come.
+const (
+	Hello   Kind = "hello"   // new: asks for a handover
+	Welcome Kind = "welcome" // old: the listening socket, and the upstream group
+	Refused Kind = "refused" // old: no handover
+	Take    Kind = "take"    // new: takes clients from now on
+	Taken   Kind = "taken"   // old: takes no more; what it knows
+	Client  Kind = "client"  // old: a client's idle connection
+)
+
+// Message is one message. A listening socket or a connection goes beside it.
+type Message struct {
+	Kind    Kind
+	Version int                `json:",omitempty"`
+	Listen  string             `json:",omitempty"` // the clients' address
+	Reason  string             `json:",omitempty"` // of a refusal
+	Group   *config.Group      `json:",omitempty"`
+	Know    *balance.Knowledge `json:",omitempty"`
+}
+
+// maxMessage is the most bytes of a message.
+const maxMessage = 4 << 20
+
+// header is the length of a message and how many descriptors come with it.
+const header = 5
+
+// encode words a message.
+func encode(m Message, descriptors int) ([]byte, error) {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > maxMessage {
+		return nil, fmt.Errorf("a message of %d bytes", len(text))
+	}
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, header+len(text)), uint32(len(text)))
+	return append(append(b, byte(descriptors)), text...), nil
+}
+
+// decode reads a message, and how many descriptors come with it. What is not of this version, or holds a group that no
+// discovery could tell, is an error.
+func decode(r io.Reader) (m Message, descriptors int, err error) {
+	var h [header]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return m, 0, err
+	}
+	n := binary.BigEndian.Uint32(h[:4])
+	if n > maxMessage || h[4] > 1 {
+		return m, 0, fmt.Errorf("a message of %d bytes with %d descriptors", n, h[4])
+	}
+	text, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil {
+		return m, 0, err
+	}
+	if len(text) < int(n) {
+		return m, 0, io.ErrUnexpectedEOF
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		return m, 0, err
+	}
+	switch m.Kind {
+	case Hello, Welcome, Refused, Take, Taken, Client:
+	default:
+		return m, 0, fmt.Errorf("a message of kind %q", m.Kind)
+	}
+	if m.Group != nil {
+		if err := m.Group.Check(); err != nil {
+			return m, 0, fmt.Errorf("group: %w", err)
+		}
+	}
+	return m, int(h[4]), nil
+}
--- /dev/null
+++ b/internal/handover/unix.go
@@ -0,0 +1,229 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// longest is the most bytes of a Unix socket's path.
+const longest = 107
+
+// folder returns the folder where the processes of the node that serves clients at listen find one another, a private
+// one under dir. It is made where there is none. Guards against a stranger's: what is not a folder of this user, closed
+// to all others, is not used.
+func folder(dir, listen string) (string, error) {
+	if dir == "" {
+		return "", errors.New("TMPDIR is not set")
+	}
+	path := filepath.Join(dir, "swiftdeal-"+strconv.FormatUint(xxhash.Sum64String(listen), 16))
+	if len(filepath.Join(path, "new-1234567")) > longest {
+		return "", fmt.Errorf("%s is too long for a socket's path", path)
+	}
+	if err := os.Mkdir(path, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return "", err
+	}
+	info, err := os.Lstat(path)
+	if err != nil {
+		return "", err
+	}
+	stat, ok := info.Sys().(*syscall.Stat_t)
+	if !ok || !info.IsDir() || info.Mode().Perm() != 0o700 || int(stat.Uid) != os.Geteuid() {
+		return "", fmt.Errorf("%s is not a private folder of this user", path)
+	}
+	return path, nil
+}
+
+// Find connects to the process that serves clients at listen, if one does. Its calls wait at most so long.
+func Find(dir, listen string, wait time.Duration) (Link, error) {
+	path, err := folder(dir, listen)
+	if err != nil {
+		return nil, err
+	}
+	c, err := net.DialTimeout("unix", filepath.Join(path, "node"), wait)
+	if err != nil {
+		return nil, err
+	}
+	return newLink(c.(*net.UnixConn), wait)
+}
+
+// unixLink is a link over a Unix socket.
+type unixLink struct {
+	c    *net.UnixConn
+	wait time.Duration
+	mu   sync.Mutex // of sending
+
+	passed []int // descriptors that have come, and whose messages have not been read
+}
+
+// newLink checks that the other end is a process of the same user.
+func newLink(c *net.UnixConn, wait time.Duration) (Link, error) {
+	raw, err := c.SyscallConn()
+	if err == nil {
+		var cred *syscall.Ucred
+		var failed error
+		err = raw.Control(func(fd uintptr) {
+			cred, failed = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+		})
+		if err = errors.Join(err, failed); err == nil && int(cred.Uid) != os.Geteuid() {
+			err = fmt.Errorf("the other process is user %d's", cred.Uid)
+		}
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return &unixLink{c: c, wait: wait}, nil
+}
+
+// Send implements Link.
+func (l *unixLink) Send(m Message, pass any) error {
+	var rights []byte
+	n := 0
+	if pass != nil {
+		s, ok := pass.(syscall.Conn)
+		if !ok {
+			return fmt.Errorf("a %T cannot be passed", pass)
+		}
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return err
+		}
+		// A copy, since the write must not be made under the socket's lock: that would hold up its reader.
+		fd := -1
+		if cerr := raw.Control(func(of uintptr) { fd, err = syscall.Dup(int(of)) }); cerr != nil || err != nil {
+			return errors.Join(cerr, err)
+		}
+		defer syscall.Close(fd)
+		rights, n = syscall.UnixRights(fd), 1
+	}
+	text, err := encode(m, n)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.c.SetWriteDeadline(time.Now().Add(l.wait))
+	k, _, err := l.c.WriteMsgUnix(text, rights, nil)
+	if err == nil && k < len(text) { // the descriptor went with the first bytes
+		_, err = l.c.Write(text[k:])
+	}
+	if err != nil {
+		l.c.Close() // half a message: nothing can follow it
+	}
+	return err
+}
+
+// Read implements io.Reader for decode: it keeps the descriptors that come with the bytes.
+func (l *unixLink) Read(p []byte) (int, error) {
+	oob := make([]byte, syscall.CmsgSpace(4*4))
+	n, k, _, _, err := l.c.ReadMsgUnix(p, oob)
+	if k > 0 {
+		list, perr := syscall.ParseSocketControlMessage(oob[:k])
+		for _, c := range list {
+			if fds, ferr := syscall.ParseUnixRights(&c); ferr == nil {
+				l.passed = append(l.passed, fds...)
+			}
+		}
+		err = errors.Join(err, perr)
+	}
+	if n == 0 && err == nil {
+		err = net.ErrClosed // ended by the other process
+	}
+	return n, err
+}
+
+// Receive implements Link.
+func (l *unixLink) Receive(wait time.Duration) (Message, any, error) {
+	var by time.Time
+	if wait > 0 {
+		by = time.Now().Add(wait)
+	}
+	l.c.SetReadDeadline(by)
+	m, n, err := decode(l)
+	if err != nil || n == 0 {
+		return m, nil, err
+	}
+	if len(l.passed) == 0 {
+		return m, nil, errors.New("a descriptor is missing")
+	}
+	f := os.NewFile(uintptr(l.passed[0]), "passed")
+	l.passed = l.passed[1:]
+	defer f.Close()
+	if m.Kind == Welcome {
+		ln, err := net.FileListener(f)
+		return m, ln, err
+	}
+	c, err := net.FileConn(f)
+	return m, c, err
+}
+
+// Close implements Link.
+func (l *unixLink) Close() error { return l.c.Close() }
+
+// unixHeirs is the socket that other processes come to.
+type unixHeirs struct {
+	ln    *net.UnixListener
+	path  string // where they look
+	own   string // the same socket under a name of its own
+	wait  time.Duration
+	known os.FileInfo
+}
+
+// Listen makes the socket that processes come to that want to take over from this one. Until Open they do not find it.
+func Listen(dir, listen string, wait time.Duration) (Heirs, error) {
+	path, err := folder(dir, listen)
+	if err != nil {
+		return nil, err
+	}
+	h := &unixHeirs{path: filepath.Join(path, "node"), own: filepath.Join(path, fmt.Sprint("new-", os.Getpid())), wait: wait}
+	os.Remove(h.own) // of a process that had this number once
+	ln, err := net.Listen("unix", h.own)
+	if err != nil {
+		return nil, err
+	}
+	h.ln = ln.(*net.UnixListener)
+	h.ln.SetUnlinkOnClose(false)
+	if err = os.Chmod(h.own, 0o600); err == nil {
+		h.known, err = os.Lstat(h.own)
+	}
+	if err != nil {
+		h.Close()
+		return nil, err
+	}
+	return h, nil
+}
+
+// Open implements Heirs. The socket takes the place of an earlier process's in one step.
+func (h *unixHeirs) Open() error { return os.Rename(h.own, h.path) }
+
+// Accept implements Heirs.
+func (h *unixHeirs) Accept() (Link, error) {
+	for {
+		c, err := h.ln.AcceptUnix()
+		if err != nil {
+			return nil, err
+		}
+		if l, err := newLink(c, h.wait); err == nil {
+			return l, nil
+		}
+	}
+}
+
+// Close implements Heirs.
+func (h *unixHeirs) Close() error {
+	if info, err := os.Lstat(h.path); err == nil && h.known != nil && os.SameFile(info, h.known) {
+		os.Remove(h.path)
+	}
+	os.Remove(h.own)
+	return h.ln.Close()
+}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 )
 
@@ -46,12 +47,21 @@
 type Machine struct {
 	Dial  Dial
 	Order Order // nil: events are handled as they come
+	// Memory sets how many bytes the process may use before garbage is collected harder; nil: nothing is set.
+	Memory func(bytes int64)
 }
 
 // Real is the machine that the process runs on.
 func Real() Machine {
-	return Machine{Dial: func(ctx context.Context, addr string, wait time.Duration, _ string) (net.Conn, error) {
-		// No keep-alive probes: how long a connection may be silent is a limit of the code that uses it.
-		return (&net.Dialer{Timeout: wait, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
-	}}
+	return Machine{
+		Dial: func(ctx context.Context, addr string, wait time.Duration, _ string) (net.Conn, error) {
+			// No keep-alive probes: how long a connection may be silent is a limit of the code that uses it.
+			return (&net.Dialer{Timeout: wait, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+		},
+		Memory: func(bytes int64) {
+			if debug.SetMemoryLimit(bytes) > bytes {
+				debug.FreeOSMemory() // another process needs it
+			}
+		},
+	}
 }
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -19,8 +19,9 @@
 	limits config.Limits
 	mu     sync.Mutex
 	open   map[net.Conn]stand
-	taken  int           // connections accepted so far
-	room   chan struct{} // told of each connection that ends or becomes idle
+	taken  int            // connections accepted so far
+	room   chan struct{}  // told of each connection that ends or becomes idle
+	give   func(net.Conn) // takes those that are idle, while another process takes clients; else nil
 }
 
 // stand is what a connection is at.
@@ -70,6 +71,9 @@
 		if gone {
 			l.c.taken++
 			l.c.open[conn] = stand{http.StateNew, time.Now(), l.c.taken}
+			if l.c.give != nil {
+				pass(conn, http.StateNew, l.c.give)
+			}
 			l.c.mu.Unlock()
 			return conn, nil
 		}
@@ -129,6 +133,9 @@
 		return
 	default:
 		c.open[conn] = stand{state, time.Now(), s.nth}
+		if state == http.StateActive || c.give != nil {
+			pass(conn, state, c.give)
+		}
 	}
 	if state != http.StateActive {
 		select {
@@ -138,6 +145,36 @@
 	}
 }
 
+// pass has a connection given away while it is idle, and no longer.
+func pass(conn net.Conn, state http.ConnState, give func(net.Conn)) {
+	if own, ok := conn.(*takein.Conn); ok && state == http.StateActive {
+		own.Keep()
+	} else if ok {
+		own.Give(give)
+	}
+}
+
+// yield has all connections given away as they become idle. With nil they stay.
+func (c *connections) yield(give func(net.Conn)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.give = give
+	for conn, s := range c.open {
+		if give == nil {
+			s.state = http.StateActive
+		}
+		pass(conn, s.state, give)
+	}
+}
+
+// resize sets how many connections there may be, as Limits words it.
+func (c *connections) resize(clients, spare int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.ClientConns, c.limits.SpareConns = clients, spare
+}
+
+// count is how many connections there are.
 func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,15 +195,18 @@
 // spare reports whether a request came on a spare connection.
 func (c *connections) spare(ctx context.Context) bool { return ctx.Value(spareKey{}) != nil }
 
-// closeIdle closes the connections that have carried no request for so long. They no longer count: whether the server
-// has noticed by the next look must not decide how long a drain takes.
+// closeIdle closes the connections that have carried no request for so long. Each is closed by its own reader. Guards
+// against closing one whose request has just been read: that would be lost, while one not read yet is sent again.
 func (c *connections) closeIdle(after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.open {
 		if s.state != http.StateActive && time.Since(s.since) >= after {
-			delete(c.open, conn)
-			conn.Close()
+			if own, ok := conn.(*takein.Conn); ok {
+				own.Give(func(c net.Conn) { c.Close() })
+			} else {
+				conn.Close()
+			}
 		}
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,6 +29,9 @@
 
 // Ready implements control.Calls: it also answers clients' own question.
 func (n *Node) Ready() bool {
+	if !n.serving.Load() || n.next.yielded() {
+		return false
+	}
 	select {
 	case <-n.route.Held():
 		leaving, _ := n.standing.leaving()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"swiftdeal/internal/book"
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/control"
+	"swiftdeal/internal/handover"
 	"swiftdeal/internal/machine"
 	"swiftdeal/internal/relay"
 	"swiftdeal/internal/request"
@@ -33,17 +34,23 @@
 	relay    *relay.Stage
 	book     *book.Stage
 	conns    *connections
+	peers    *send.Stage
+	memory   func(bytes int64)
 	standing standing
+	next     *succession // nil: the process cannot be replaced without a gap
 	log      *slog.Logger
 
+	serving                  atomic.Bool // clients' connections are accepted
 	reloadsOK, reloadsFailed atomic.Int64
 }
 
 // Doors is where a node is spoken to.
 type Doors struct {
 	Clients net.Listener
-	Control net.Listener  // nil: no calls are answered
-	Reloads <-chan Reload // nil: none come
+	Control net.Listener    // nil: no calls are answered
+	Reloads <-chan Reload   // nil: none come
+	Prior   *handover.Prior // the process that this one replaces; nil: none
+	Heirs   handover.Heirs  // where the one comes that will replace this one; nil: none can
 }
 
 // Reload is the configuration read again, or what is wrong with it.
@@ -70,23 +77,32 @@
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
+	n.memory = m.Memory
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
-	peers, group := send.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), upstream.New(c.Limits, m.Dial, c.Discovery, c.Known.Version, r)
+	known, list := c.Known, upstream.Events(r)
+	if d.Heirs != nil || d.Prior != nil {
+		roster, doors := &roster{Stage: r}, newEntrance(d.Clients)
+		n.next = &succession{n: n, doors: doors, heirs: d.Heirs, listen: c.Listen, group: roster, links: map[handover.Link]bool{}}
+		list, d.Clients = roster, doors
+	}
+	if d.Prior != nil && d.Prior.Group.Version >= known.Version {
+		known = d.Prior.Group
+	}
+	peers, group := send.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), upstream.New(c.Limits, m.Dial, c.Discovery, known.Version, list)
+	n.peers = peers
 	defer peers.Close()
 	defer group.Close()
 	defer n.book.End()
 	go r.Run(work, peers, group)
-	r.Listed(balance.ListCached, c.Known)
+	list.Listed(balance.ListCached, known)
 	go n.reload(work, c, d.Reloads)
 	srv := &http.Server{
 		Handler: n, ReadHeaderTimeout: c.Limits.HeadWait, IdleTimeout: c.Limits.IdleWait, MaxHeaderBytes: c.Limits.HeaderBytes,
 		ConnState: n.conns.note, ConnContext: n.conns.mark, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		DisableGeneralOptionsHandler: true,
 	}
-	log.Info("serving", "name", c.Name, "listen", d.Clients.Addr(), "peers", len(c.Known.Peers))
 	failed := make(chan error, 2)
-	go func() { failed <- srv.Serve(n.conns.listen(d.Clients)) }()
 	if d.Control != nil {
 		calls := control.New(c.Limits, n, log)
 		defer calls.Close()
@@ -96,6 +112,16 @@
 			}
 		}()
 	}
+	if d.Prior != nil {
+		n.resize(true)
+	}
+	if n.next != nil {
+		defer n.next.end()
+		n.next.enter(ctx, d.Prior)
+	}
+	n.serving.Store(true)
+	log.Info("serving", "name", c.Name, "listen", d.Clients.Addr(), "peers", len(known.Peers))
+	go func() { failed <- srv.Serve(n.conns.listen(d.Clients)) }()
 	select {
 	case err := <-failed:
 		return err
@@ -147,7 +173,7 @@
 		return
 	}
 	c, admitted, spare := n.takein.Read(w, r), false, n.conns.spare(r.Context())
-	leaving, away := n.standing.leaving()
+	_, away := n.standing.leaving()
 	select {
 	case <-c.Ended():
 	default:
@@ -173,7 +199,8 @@
 	taken := false
 	defer func() { n.book.Close(c, taken) }() // also when relay drops the connection
 	a := c.Answer()
-	leaving, _ = n.standing.leaving() // by now
+	leaving, _ := n.standing.leaving()
+	leaving = leaving && !n.next.yielded() // else the connection goes to the process that takes clients
 	// A client that breaks the protocol keeps no connection. The server then neither waits for the rest of a body
 	// before it sends the answer, nor reads on in what may be no request.
 	taken = n.relay.Write(w, a, leaving || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
@@ -182,10 +209,11 @@
 // ready answers whether clients may come: there is a list of peers, and the node is not about to end.
 func (n *Node) ready(w http.ResponseWriter) {
 	code := http.StatusServiceUnavailable
-	if n.Ready() {
+	yielded := n.next.yielded() // the other process of the node takes clients
+	if yielded || n.Ready() {
 		code = http.StatusOK
 	}
-	if leaving, _ := n.standing.leaving(); leaving {
+	if leaving, _ := n.standing.leaving(); leaving && !yielded {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(code)
@@ -197,6 +225,10 @@
 func (n *Node) drain(ln net.Listener) {
 	n.standing.end()
 	start := time.Now()
+	if n.next.ending() {
+		n.finish(ln, start.Add(n.limits.DrainLate))
+		return
+	}
 	end := start.Add(n.limits.DrainTotal)
 	time.Sleep(n.limits.DrainEarly)
 	n.admit.Drain(start.Add(n.limits.DrainLate))
@@ -215,3 +247,22 @@
 		<-every.C
 	}
 }
+
+// finish ends what the process still holds while another one takes the node's clients. No job may be open at the end:
+// those that cannot end by then are given up while their clients can still hear of it.
+func (n *Node) finish(ln net.Listener, end time.Time) {
+	ln.Close()
+	n.route.Ends(end)
+	every := time.NewTicker(tick)
+	defer every.Stop()
+	for given := false; n.admit.Open() > 0 || n.conns.count() > 0; <-every.C {
+		if left := time.Until(end); left <= 0 {
+			n.conns.closeIdle(0)
+			return
+		} else if left <= n.limits.GiveUp && !given {
+			given = true
+			n.route.Ends(time.Now()) // first what may be refused
+			n.admit.Expire(end)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/replace.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/handover"
+	"swiftdeal/internal/route"
+)
+
+// succession is a node's part in replacing its process: first as the new one, then as the old.
+type succession struct {
+	n      *Node
+	doors  *entrance
+	heirs  handover.Heirs
+	group  *roster
+	listen string // as the configuration words it
+
+	mu    sync.Mutex
+	turn  handover.Turn
+	link  int // of those that asked, counted
+	links map[handover.Link]bool
+	over  bool // nothing is to be started any more
+	work  sync.WaitGroup
+	gives sync.WaitGroup // connections on their way
+}
+
+// roster keeps the upstream group as discovery has told it, for the process that comes after this one.
+type roster struct {
+	*route.Stage
+	mu    sync.Mutex
+	group config.Group
+}
+
+// Listed implements upstream.Events.
+func (r *roster) Listed(kind balance.List, g config.Group) {
+	if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges {
+		r.mu.Lock()
+		r.group = r.group.With(g)
+		r.mu.Unlock()
+	}
+	r.Stage.Listed(kind, g)
+}
+
+func (r *roster) now() *config.Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group.With(config.Group{Version: r.group.Version}) // a copy
+	return &g
+}
+
+// takeOver takes the place of the process on the other end of the link: it stops taking clients, tells what it knows,
+// and passes its connections as they become idle. A link that fails means that there is nobody to wait for.
+func (s *succession) takeOver(l handover.Link) {
+	limits := s.n.limits
+	err := l.Send(handover.Message{Kind: handover.Take}, nil)
+	var m handover.Message
+	if err == nil {
+		m, _, err = l.Receive(limits.HandWait)
+	}
+	if err == nil && m.Kind == handover.Taken && m.Know != nil {
+		s.n.route.Learn(*m.Know)
+	} else if err == nil {
+		err = errors.New("it answered with a message of kind " + string(m.Kind))
+	}
+	s.n.log.Info("took over", "error", err)
+	s.start(l, func() {
+		for count := 0; ; count++ {
+			m, c, err := l.Receive(0)
+			if err != nil {
+				s.n.log.Info("the process before this one is gone", "clients", count, "why", err)
+				s.n.resize(false)
+				return
+			}
+			if c, ok := c.(net.Conn); ok && m.Kind == handover.Client {
+				s.doors.bring(c)
+			}
+		}
+	})
+}
+
+// start does the work on a link, which is closed after it, or when all ends.
+func (s *succession) start(l handover.Link, work func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		l.Close()
+		return
+	}
+	s.links[l] = true
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		work()
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.links, l)
+	}()
+}
+
+// end ends all links, once the connections that are on their way have gone.
+func (s *succession) end() {
+	if s == nil {
+		return
+	}
+	if s.heirs != nil {
+		s.heirs.Close()
+	}
+	s.gives.Wait()
+	s.mu.Lock()
+	s.over = true
+	for l := range s.links {
+		l.Close()
+	}
+	s.mu.Unlock()
+	s.work.Wait()
+}
+
+// serveHeirs answers processes that want to take over, until heirs is closed.
+func (s *succession) serveHeirs() {
+	if s.heirs == nil {
+		return
+	}
+	if err := s.heirs.Open(); err != nil {
+		s.n.log.Warn("this process cannot be replaced without a gap", "error", err)
+		return
+	}
+	for {
+		l, err := s.heirs.Accept()
+		if err != nil {
+			return
+		}
+		s.link++
+		id := s.link
+		s.start(l, func() { s.serve(l, id) })
+	}
+}
+
+// serve hands over to one process, step by step as that asks for it.
+func (s *succession) serve(l handover.Link, id int) {
+	m, _, err := l.Receive(s.n.limits.HandWait)
+	if err != nil || m.Kind != handover.Hello {
+		return
+	}
+	refuse := func(reason string) {
+		s.n.log.Warn("a process that wants to take over is refused", "reason", reason)
+		l.Send(handover.Message{Kind: handover.Refused, Version: handover.Version, Reason: reason}, nil)
+	}
+	if m.Version != handover.Version || m.Listen != s.listen {
+		refuse("another version or another node")
+		return
+	}
+	s.mu.Lock()
+	ok := s.turn.Hello(id)
+	s.mu.Unlock()
+	if !ok {
+		refuse("another process is taking over")
+		return
+	}
+	err = l.Send(handover.Message{Kind: handover.Welcome, Version: handover.Version, Group: s.group.now()}, s.doors.Listener)
+	for err == nil {
+		if m, _, err = l.Receive(0); err == nil && m.Kind == handover.Take {
+			s.mu.Lock()
+			stop := s.turn.Take(id)
+			s.mu.Unlock()
+			if stop {
+				err = s.yield(l)
+			}
+		}
+	}
+	s.mu.Lock()
+	back := s.turn.Lost(id)
+	s.mu.Unlock()
+	s.n.log.Info("the process that takes over is gone", "takes_clients_again", back, "why", err)
+	if back {
+		s.n.conns.yield(nil)
+		s.n.route.Yield(false)
+		s.n.resize(false)
+		s.doors.shut(false)
+	}
+}
+
+// yield stops taking clients and gives those that are idle to the process on the link.
+func (s *succession) yield(l handover.Link) error {
+	s.doors.shut(true)
+	s.n.resize(true)
+	know := s.n.route.Yield(true)
+	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know}, nil); err != nil {
+		return err
+	}
+	s.n.log.Info("another process takes clients from now on", "open", s.n.admit.Open(), "connections", s.n.conns.count())
+	s.n.conns.yield(func(c net.Conn) {
+		s.gives.Add(1)
+		go func() {
+			defer s.gives.Done()
+			defer c.Close()
+			l.Send(handover.Message{Kind: handover.Client}, c)
+		}()
+	})
+	return nil
+}
+
+// yielded reports whether another process takes clients.
+func (s *succession) yielded() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turn.Yielded()
+}
+
+// ending says that the process ends, and reports whether another one takes clients.
+func (s *succession) ending() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turn.End()
+}
+
+// resize keeps the node's connections and memory within its limits, or within half of them while two processes share
+// them.
+func (n *Node) resize(half bool) {
+	l := n.limits
+	if half {
+		l = l.Half()
+	}
+	n.conns.resize(l.ClientConns, l.SpareConns)
+	n.peers.Resize(l.PeerConns)
+	n.admit.Resize(l.OpenRequests)
+	if n.memory != nil {
+		n.memory(l.MemoryBytes)
+	}
+}
+
+// enter makes the process the node's own: it takes the place of the one before it, if there is one, and is then the one
+// that others find. It first waits for an upstream group, as no client may come before.
+func (s *succession) enter(ctx context.Context, prior *handover.Prior) {
+	if prior != nil {
+		select {
+		case <-s.n.route.Held():
+		case <-ctx.Done():
+		}
+		s.takeOver(prior.Link)
+	}
+	s.start(noLink{}, s.serveHeirs)
+}
+
+// noLink stands for the link of work that has none.
+type noLink struct{ handover.Link }
+
+// Close implements handover.Link.
+func (noLink) Close() error { return nil }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 	log      *slog.Logger
 	order    machine.Order // of events at one instant; nil: as they come
 	start    time.Time
+	over     chan struct{} // closed when Run has ended
 	held     chan struct{} // closed once an upstream group that is not empty is held
 	holds    bool
 	wake     func() // posts tick; both are made once, as the Balancer is woken for every try
@@ -62,7 +64,7 @@
 // New returns the stage, or an error that names the setting that cannot be right. The figures of the upstream group are
 // taken at most every viewEvery; never if that is 0.
 func New(s balance.Settings, seed uint64, viewEvery time.Duration, order machine.Order, log *slog.Logger) (*Stage, error) {
-	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, viewEvery: viewEvery, start: time.Now(), held: make(chan struct{})}
+	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, viewEvery: viewEvery, start: time.Now(), held: make(chan struct{}), over: make(chan struct{})}
 	r.tick = func() { r.b.Timer(r.now(), "") }
 	r.wake = func() { r.box.post(machine.Source{Kind: machine.Timer}, r.tick) }
 	r.look = func() { r.box.post(machine.Source{Kind: machine.Timer}, func() { r.viewNext = false }) }
@@ -76,6 +78,7 @@
 
 // Run handles events until the context ends. It owns the Balancer.
 func (r *Stage) Run(ctx context.Context, s Sender, u Upstream) {
+	defer close(r.over)
 	r.sender, r.upstream = s, u
 	for {
 		select {
@@ -182,6 +185,29 @@
 	})
 }
 
+// Learn posts what the process before this one has learned.
+func (r *Stage) Learn(k balance.Knowledge) {
+	r.box.post(machine.Source{Kind: machine.Discovery}, func() { r.b.Learn(r.now(), k) })
+}
+
+// Yield posts whether another process takes clients in this one's place, and waits for what the Balancer has learned
+// until then.
+func (r *Stage) Yield(yes bool) (k balance.Knowledge) {
+	done := make(chan struct{})
+	r.box.post(machine.Source{Kind: machine.Drain}, func() {
+		defer close(done)
+		r.b.Yield(r.now(), yes)
+		k = r.b.Know()
+		k.Slots = maps.Clone(k.Slots) // the Balancer goes on with its own
+	})
+	select {
+	case <-done:
+		return k
+	case <-r.over:
+		return balance.Knowledge{}
+	}
+}
+
 // Ends posts the news that the node will be stopped at the given time.
 func (r *Stage) Ends(at time.Time) {
 	r.box.post(machine.Source{Kind: machine.Drain}, func() {
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// resize sets how many connections there may be; idle ones past it are closed, the oldest first.
+func (p *pool) resize(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.PeerConns = n
+	for over := p.count - n; over > 0 && len(p.idle) > 0; over-- {
+		p.remove(p.idle[0])
+	}
+}
+
 // place is what an exchange has been given in the pool: an idle connection, or leave to open one.
 type place struct {
 	c    *conn
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -49,6 +49,9 @@
 // Close ends all connections to peers. Tries that are out end as resets.
 func (s *Stage) Close() { s.pool.close() }
 
+// Resize sets how many connections to peers there may be. Those in use past it end with their tries.
+func (s *Stage) Resize(conns int) { s.pool.resize(conns) }
+
 // Update takes news of the upstream group.
 func (s *Stage) Update(g config.Group) { s.pool.update(g) }
 
--- a/internal/takein/conn.go
+++ b/internal/takein/conn.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/textproto"
+	"os"
 	"sync"
+	"time"
 )
 
 // Conn is a client connection that keeps the head of the request in hand as it came. The server drops a
@@ -21,14 +24,95 @@
 	head []byte // what came since the head began
 	skip int64  // bytes of a body that have not come yet
 	lost bool   // where the next head begins is not known
+
+	// What lets an idle connection go to another process, whole.
+	give  func(net.Conn) // takes it in place of a close; nil while it stays
+	woken bool           // its reader was woken to look at give
+	gone  bool           // nobody reads it any more: it goes
+	by    time.Time      // the read deadline that the server has set
 }
 
 // NewConn wraps a client connection. A head of up to most bytes is kept.
 func NewConn(c net.Conn, most int) *Conn { return &Conn{Conn: c, most: most} }
 
+// Give has a connection that is idle given away as soon as nothing of a request has come: the server then finds it at
+// its end, and closes it, which gives it away. Keep takes that back; it is to be called when a request begins.
+func (c *Conn) Give(give func(net.Conn)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone {
+		c.give, c.woken = give, true
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Keep undoes Give, if it is not too late.
+func (c *Conn) Keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone {
+		c.give = nil
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.by, c.woken = t, false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// leaves reports whether the connection goes instead of being read: no byte of a request is in hand.
+func (c *Conn) leaves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.give != nil && len(c.head) == 0 && c.skip == 0 && !c.lost {
+		c.gone = true
+	}
+	return c.gone
+}
+
+// again undoes a wake that has met a reader who reads on, and reports whether there was one.
+func (c *Conn) again() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	woken := c.woken
+	if c.woken = false; woken {
+		c.Conn.SetReadDeadline(c.by)
+	}
+	return woken
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	give := c.give
+	if !c.gone {
+		give = nil
+	}
+	c.give = nil
+	c.mu.Unlock()
+	if give != nil {
+		c.Conn.SetDeadline(time.Time{})
+		give(c.Conn)
+		return nil
+	}
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn. What usual requests pay is one copy of their head.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.leaves() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.again() {
+		if c.leaves() {
+			return 0, err
+		}
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	got := p[:max(n, 0)]
