Retune at SIGHUP: settings whole or not at all, open jobs keep their class

Lines at fault: reload in internal/node took discovery alone; NeedsRestart named settings. Design: settings.With keeps classes in their places (a changed one stands behind, one that was there has its place again), so that open jobs keep theirs; balance.Retune checks all and then swaps; sends are kept with the request; admit swaps the names once the owner of the Balancer has taken the settings. A file that lacks a used key which the running one has is refused. Not taken: a new Balancer for new settings (open jobs and charges would have to move); keeping defaults for missing keys.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,7 +65,8 @@
 	b.patient[q.Class] = max(b.patient[q.Class], q.Patience)
 	spent := b.patient[q.Class] - q.Patience // by the client's earlier tries
 	margin := min(max(2*b.s.Step, 10*time.Millisecond), q.Patience/2)
-	r := &request{Request: q, c: c, number: b.taken, aim: now - spent + c.Aim, end: now + q.Patience - margin}
+	r := &request{Request: q, c: c, sends: b.s.MaxAttempts, number: b.taken}
+	r.aim, r.end = now-spent+c.Aim, now+q.Patience-margin
 	gap := (now - b.lastReq).Seconds()
 	keep := math.Exp(-gap / 4) // a plain average at first, later the last seconds weigh most
 	b.rateN, b.rateT = b.rateN*keep+1, b.rateT*keep+gap
--- a/balance/know.go
+++ b/balance/know.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -113,3 +114,32 @@
 	}
 	b.tend()
 }
+
+// Retune puts other settings into effect. Requests that are open keep the class and the number of sends under which they
+// were taken: Classes holds all earlier ones in their places, and new ones behind them. What a class of the same name has
+// taught holds for a new one until that teaches better. How many balancers there are, which one this is, its zone, and
+// the host's times stay as they were. Settings that cannot be right change nothing.
+func (b *Balancer) Retune(now time.Duration, s Settings) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	old := b.s
+	if len(s.Classes) < len(old.Classes) {
+		return fmt.Errorf("balance: Classes: %d are missing", len(old.Classes)-len(s.Classes))
+	}
+	b.now, b.s = now, s
+	b.s.Balancers, b.s.Me, b.s.Zone, b.s.MustAsk = old.Balancers, old.Me, old.Zone, old.MustAsk
+	b.s.DialTimeout, b.s.Step = old.DialTimeout, old.Step
+	for _, c := range s.Classes[len(old.Classes):] {
+		run, patient := c.Aim.Seconds(), time.Duration(0)
+		for i, o := range old.Classes {
+			if o.Name == c.Name {
+				run, patient = b.run[i], min(b.patient[i], c.Deadline)
+			}
+		}
+		b.run, b.patient = append(b.run, run), append(b.patient, patient)
+		b.tight = min(b.tight, c.Aim.Seconds())
+	}
+	b.tend()
+	return nil
+}
--- /dev/null
+++ b/balance/know_test.go
@@ -0,0 +1,97 @@
+package balance
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A job keeps the class and the number of sends under which it was taken; the next one goes by the new settings.
+func TestRetune(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 3
+	b, h := ready(t, s, map[string][2]float64{"w1": {9, 9}})
+	b.Accept(time.Second, req("old", 1, 0))
+	to := s
+	changed := s.Classes[0]
+	changed.Effect = Unsafe
+	to.Classes, to.MaxAttempts, to.Zone, to.Balancers = append(to.Classes[:1:1], changed), 1, "other", 9
+	if err := b.Retune(time.Second, to); err != nil {
+		t.Fatal(err)
+	}
+	if b.s.Zone != "a" || b.s.Balancers != 1 {
+		t.Errorf("what needs a restart has changed: %+v", b.s)
+	}
+	young := req("new", 1, 0)
+	young.Class = 1
+	b.Accept(time.Second, young)
+	h.log = nil
+	for _, id := range []string{"old", "new"} {
+		b.Done(time.Second, Outcome{Request: id, Worker: "w1", Result: TimedOut})
+	}
+	b.Timer(3*time.Second, "")
+	if got := strings.Join(h.take("fail"), ";"); got != "fail new" {
+		t.Errorf("given up: %q", got)
+	}
+	if r := b.reqs["old"]; r == nil || r.c.Effect != Safe || r.sends != 3 {
+		t.Errorf("the open job goes by %+v", r)
+	}
+	// What cannot be right changes nothing.
+	bad := to
+	bad.Classes = append(to.Classes[:2:2], Class{Name: "x"})
+	less := to
+	less.Classes = to.Classes[:1]
+	for _, s := range []Settings{bad, less} {
+		if err := b.Retune(time.Second, s); err == nil || len(b.s.Classes) != 2 {
+			t.Errorf("%v, %d classes", err, len(b.s.Classes))
+		}
+	}
+}
+
+// What one balancer has learned holds at the next: sends that a cold worker's budget must count, room that reports do not
+// show yet, and workers set aside. What cannot be right is left out.
+func TestLearn(t *testing.T) {
+	s := settings()
+	s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 0.2, 20*time.Second, 3, 3*time.Second
+	old, _ := ready(t, s, map[string][2]float64{"w1": {1, 9}, "w2": {5, 9}, "w3": {5, 9}})
+	old.Members(time.Second, ListChanges, []Worker{{ID: "w2", Zone: "a", State: Ready, Started: time.Second}})
+	old.Probed(time.Second, "w2", OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+	old.Accept(time.Second, req("r1", 1, 0)) // to w3, which then looks ill
+	for _, id := range []string{"w1", "w2", "w3"} {
+		old.byID[id].events = append(old.byID[id].events, event{time.Second, -1, 0, 9})
+	}
+	old.byID["w3"].until = 20 * time.Second
+	k := old.Know()
+	young, h := ready(t, s, map[string][2]float64{"w1": {0, 9}, "w2": {0, 9}, "w3": {0, 9}})
+	young.Members(time.Second, ListChanges, []Worker{{ID: "w2", Zone: "a", State: Ready, Started: time.Second}})
+	k.Workers = append(k.Workers, Known{ID: "unlisted"})
+	odd := k.Workers[0]
+	odd.Report.FreeSlots, odd.Until = math.NaN(), math.MaxInt64
+	young.Learn(time.Second, Knowledge{Workers: []Known{odd}, Pace: -1, Usual: math.Inf(1), RateN: math.NaN(), Slots: map[string]float64{"": -1}})
+	young.Learn(time.Second, k)
+	young.Accept(time.Second, req("r2", 1, 0))
+	if got := h.take("send"); len(got) != 0 {
+		t.Errorf("%v: w1 is full, w2 has had its budget, w3 is ill", got)
+	}
+	if listed, excluded := young.View(); listed != 3 || excluded != 1 {
+		t.Errorf("%d listed, %d excluded", listed, excluded)
+	}
+}
+
+// Once another process has its place, a balancer sends nothing to cold workers, and again when it has it back.
+func TestYield(t *testing.T) {
+	s := settings()
+	s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallAfter = 0.5, 20*time.Second, 3, 3*time.Second
+	b, h := ready(t, s, map[string][2]float64{"w1": {0, 9}})
+	b.Yield(time.Second, true)
+	b.Members(time.Second, ListChanges, []Worker{{ID: "w2", Zone: "a", State: Ready, Started: time.Second}})
+	b.Probed(time.Second, "w2", OK, &Report{FreeSlots: 5, FreeMemory: 9, Queue: -1, InHand: -1, Mark: 2})
+	b.Accept(time.Second, req("r1", 1, 0))
+	if got := h.take("send"); len(got) != 0 {
+		t.Errorf("sent to a cold worker: %v", got)
+	}
+	if b.Yield(time.Second, false); len(h.take("send r1 w2")) != 1 {
+		t.Errorf("got %v", h.log)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -72,6 +72,7 @@
 	held     bool
 	looks    int     // rounds of probes it has had
 	number   int     // counts the requests taken
+	sends    int     // that it may have, by the settings under which it was taken; 0 for no limit
 	order    float64 // held jobs are sent in this order
 	attempts []*attempt
 }
@@ -228,7 +229,7 @@
 
 // spent reports whether a request has at most this many sends left.
 func (b *Balancer) spent(r *request, left int) bool {
-	return b.s.MaxAttempts > 0 && len(r.attempts)+left >= b.s.MaxAttempts
+	return r.sends > 0 && len(r.attempts)+left >= r.sends
 }
 
 // restarted drops what was known of a worker before its process started anew.
@@ -270,7 +271,7 @@
 
 // New returns a Balancer, or an error that names the setting that cannot be right.
 func New(s Settings, seed uint64, act Actions) (*Balancer, error) {
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	s.Balancers = max(s.Balancers, 1)
@@ -334,8 +335,8 @@
 	return int((uint32(b.s.Me)%n + n - h.Sum32()%n) % n)
 }
 
-// check names the setting that cannot be right.
-func (s *Settings) check() error {
+// Check names the setting that cannot be right.
+func (s *Settings) Check() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("balance: Classes: none given")
 	}
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -70,15 +70,18 @@
 	}
 	reloads := make(chan node.Reload)
 	d.Reloads = reloads
-	go reread(hup, reloads)
+	go reread(hup, c, reloads)
 	return node.Serve(ctx, machine.Real(), c, d, log)
 }
 
 // reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
 // with what it has, and the log names the key.
-func reread(hup <-chan os.Signal, reloads chan<- node.Reload) {
+func reread(hup <-chan os.Signal, running *config.Config, reloads chan<- node.Reload) {
 	for range hup {
-		c, err := config.Reload(os.Getenv, os.ReadFile)
+		c, err := config.Reload(os.Getenv, os.ReadFile, running)
+		if err == nil {
+			running = c
+		}
 		reloads <- node.Reload{Config: c, Err: err}
 	}
 }
--- a/cmd/swiftdeal/main_test.go
+++ b/cmd/swiftdeal/main_test.go
@@ -11,7 +11,7 @@
 	"swiftdeal/internal/node"
 )
 
-const text = `{"listen":"127.0.0.1:8080","discovery":"127.0.0.1:1","seed":"1","settings":{"profiles":[{"name":"job","aimMs":1,"deadlineMs":1,"effect":"retryable"}]}}`
+const text = `{"listen":"127.0.0.1:8080","discovery":"127.0.0.1:1","seed":"1","settings":{"profiles":[{"name":"job","aimMs":1,"deadlineMs":1,"effect":"retryable","worth":1}]}}`
 
 // A reload takes the file's discovery though the environment names another: a process cannot be told a new
 // variable. A faulty file changes nothing, and the error names the key.
@@ -19,6 +19,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	t.Setenv("GW_CONFIG", path)
 	t.Setenv("GW_DISCOVERY", "127.0.0.1:2")
+	running := new(config.Config)
 	reload := func(text string) node.Reload {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -26,7 +27,7 @@
 		hup, reloads := make(chan os.Signal, 1), make(chan node.Reload, 1)
 		hup <- syscall.SIGHUP
 		close(hup)
-		reread(hup, reloads)
+		reread(hup, running, reloads)
 		close(reloads)
 		return <-reloads
 	}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftdeal/balance"
@@ -15,8 +16,7 @@
 // Stage admits requests.
 type Stage struct {
 	limits  config.Limits
-	classes []balance.Class
-	byName  map[string]int
+	classes atomic.Pointer[offer]
 	late    func(*request.Context) // told of a request that the backstop has answered
 
 	mu   sync.Mutex
@@ -24,6 +24,12 @@
 	open map[string]*backstop // of each open request, by id
 }
 
+// offer is the classes that may be asked for: their places by name, and all places.
+type offer struct {
+	all    []balance.Class
+	byName map[string]int
+}
+
 // backstop answers a request if nothing else has.
 type backstop struct {
 	*time.Timer
@@ -31,26 +37,34 @@
 }
 
 // New returns the stage.
-func New(l config.Limits, classes []balance.Class, late func(*request.Context)) *Stage {
-	s := &Stage{limits: l, classes: classes, byName: map[string]int{}, late: late, open: map[string]*backstop{}}
-	for i, c := range classes {
-		s.byName[c.Name] = i
+func New(l config.Limits, all []balance.Class, late func(*request.Context)) *Stage {
+	s := &Stage{limits: l, late: late, open: map[string]*backstop{}}
+	byName := map[string]int{}
+	for i, c := range all {
+		byName[c.Name] = i
 	}
+	s.Retune(all, byName)
 	return s
 }
 
+// Retune sets the classes that may be asked for, by name, and what stands in each place.
+func (s *Stage) Retune(all []balance.Class, byName map[string]int) {
+	s.classes.Store(&offer{all, byName})
+}
+
 // Enter admits a request, or answers it. Each one admitted must Leave.
 func (s *Stage) Enter(c *request.Context) bool {
-	class, ok := s.byName[c.ClassName]
+	now := s.classes.Load()
+	class, ok := now.byName[c.ClassName]
 	if !ok {
 		return refuse(c, request.UnknownClass, fmt.Sprintf("no class %q", c.ClassName))
 	}
 	c.Class = class
-	if s.classes[class].Effect == balance.Keyed && c.Header.Get("Idempotency-Key") == "" {
+	if now.all[class].Effect == balance.Keyed && c.Header.Get("Idempotency-Key") == "" {
 		return refuse(c, request.Malformed, "Idempotency-Key: missing")
 	}
 	if c.Patience == 0 { // not told: the class's own
-		c.Patience = s.classes[class].Deadline
+		c.Patience = now.all[class].Deadline
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,9 +5,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 
 	"swiftdeal/internal/settings"
 )
@@ -22,18 +25,25 @@
 	Known     Group // the upstream group as this node last had it, possibly stale
 	Settings  settings.Settings
 	Limits    Limits
+
+	told     []byte          // the settings as they stand in the file
+	platform platform        // what the node may use
+	keys     map[string]bool // those of the file that are used, as paths
+}
+
+// platform is what the platform lets a node use.
+type platform struct {
+	Cores    float64
+	MemoryMB int64 `json:"memory_mb"`
+	Sockets  int
 }
 
 // file mirrors the JSON of the file that GW_CONFIG names; unknown keys are skipped.
 type file struct {
 	Name, Listen, Control, Discovery, Seed string
-	Limits                                 struct {
-		Cores    float64
-		MemoryMB int64 `json:"memory_mb"`
-		Sockets  int
-	}
-	Known    json.RawMessage
-	Settings json.RawMessage
+	Limits                                 platform
+	Known                                  json.RawMessage
+	Settings                               json.RawMessage
 }
 
 // Load reads the configuration through the two functions of package os that it is handed: Getenv and
@@ -44,8 +54,31 @@
 
 // Reload reads the file again for a node that runs. Its discovery goes before the variable: that one cannot
 // change while the process lives, so that a new address in the file could never take effect.
-func Reload(getenv func(string) string, open func(string) ([]byte, error)) (*Config, error) {
-	return read(getenv, open, true)
+//
+// The file must be whole: a key that the running configuration's file has may not be missing, since its default would
+// then go before what the operator had set; and each class must say what it is.
+func Reload(getenv func(string) string, open func(string) ([]byte, error), running *Config) (*Config, error) {
+	c, err := read(getenv, open, true)
+	if err == nil {
+		err = c.whole(running)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", getenv("GW_CONFIG"), err)
+	}
+	return c, nil
+}
+
+// whole names what a configuration lacks that is to take the place of the running one.
+func (c *Config) whole(running *Config) error {
+	for _, k := range slices.Sorted(maps.Keys(running.keys)) {
+		if !c.keys[k] {
+			return fmt.Errorf("%s: missing, and the running configuration has it", k)
+		}
+	}
+	if err := settings.Whole(c.told); err != nil {
+		return err
+	}
+	return c.Settings.Balance.Check()
 }
 
 func read(getenv func(string) string, open func(string) ([]byte, error), again bool) (*Config, error) {
@@ -68,7 +101,13 @@
 			*key = v
 		}
 	}
-	return f.check()
+	c, err := f.check()
+	if err == nil {
+		c.keys = map[string]bool{}
+		used(text, reflect.TypeFor[file](), "", c.keys)
+		used(f.Settings, settings.Form, "settings.", c.keys)
+	}
+	return c, err
 }
 
 // NeedsRestart names the keys in which a new configuration differs from this one and that only a restart puts
@@ -79,7 +118,7 @@
 		same bool
 	}{
 		{"name", c.Name == to.Name}, {"listen", c.Listen == to.Listen}, {"control", c.Control == to.Control}, {"seed", c.Seed == to.Seed},
-		{"settings", reflect.DeepEqual(c.Settings, to.Settings)}, {"limits", c.Limits == to.Limits},
+		{"settings", !c.Settings.NeedsRestart(to.Settings)}, {"limits", c.platform == to.platform},
 	} {
 		if !k.same {
 			keys = append(keys, k.key)
@@ -88,6 +127,28 @@
 	return keys
 }
 
+// used notes the paths of the keys of a JSON object that are read into a struct, in lower case; those of lists are left
+// out, and so is the group last known, which a running node's own is newer than.
+func used(text []byte, form reflect.Type, path string, keys map[string]bool) {
+	var m map[string]json.RawMessage
+	if json.Unmarshal(text, &m) != nil {
+		return
+	}
+	for k, v := range m {
+		f, ok := form.FieldByNameFunc(func(name string) bool {
+			return strings.EqualFold(name, k) || strings.EqualFold(name, strings.ReplaceAll(k, "_", ""))
+		})
+		if !ok || k == "known" {
+			continue
+		}
+		k = path + strings.ToLower(k)
+		keys[k] = true
+		if f.Type.Kind() == reflect.Struct {
+			used(v, f.Type, k+".", keys)
+		}
+	}
+}
+
 // check turns the file into a Config.
 func (f *file) check() (*Config, error) {
 	c := &Config{Name: f.Name, Listen: f.Listen, Control: f.Control, Discovery: f.Discovery}
@@ -122,6 +183,14 @@
 	if len(c.Settings.Balance.Classes) == 0 {
 		return nil, fmt.Errorf("settings.profiles: no class given")
 	}
+	names := map[string]bool{}
+	for i, n := range c.Settings.ClassNames() {
+		if n == "" || names[n] {
+			return nil, fmt.Errorf("settings.profiles[%d].name: %q is missing or named twice", i, n)
+		}
+		names[n] = true
+	}
+	c.platform, c.told = f.Limits, f.Settings
 	c.Limits, err = f.limits(c.Settings)
 	return c, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // Node is a node that serves.
 type Node struct {
-	limits   config.Limits
+	limits   config.Limits // but for what changes with settings: see bounds
 	takein   *takein.Stage
 	admit    *admit.Stage
 	route    *route.Stage
@@ -36,6 +37,9 @@
 	conns    *connections
 	peers    *send.Stage
 	memory   func(bytes int64)
+	mu       sync.Mutex
+	timed    config.Limits // limits with what the settings in force make of them
+	halved   bool          // two processes share them
 	standing standing
 	next     *succession // nil: the process cannot be replaced without a gap
 	log      *slog.Logger
@@ -73,7 +77,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	n := &Node{
-		limits: c.Limits, route: r, conns: newConnections(c.Limits),
+		limits: c.Limits, timed: c.Limits, route: r, conns: newConnections(c.Limits),
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
@@ -136,6 +140,7 @@
 
 // reload puts new configurations into effect, one after the other.
 func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan Reload) {
+	inForce := c.Settings
 	for {
 		select {
 		case <-ctx.Done():
@@ -150,7 +155,18 @@
 			if keys := c.NeedsRestart(to); len(keys) > 0 {
 				n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
 			}
-			n.log.Info("configuration read again", "discovery", to.Discovery)
+			now, byName := inForce.With(to.Settings)
+			now.Balance.MustAsk = true
+			if err := n.route.Retune(now.Balance); err != nil {
+				n.log.Error("the settings are faulty, the old ones stay", "error", err)
+				n.reloadsFailed.Add(1)
+				continue
+			}
+			inForce = now
+			n.book.Classes(to.Settings.ClassNames())
+			n.admit.Retune(now.Balance.Classes, byName)
+			n.retime(to.Limits)
+			n.log.Info("configuration read again", "discovery", to.Discovery, "classes", len(byName))
 			n.route.Moved(to.Discovery) // also if it is the same: the operator may want it asked anew
 			n.reloadsOK.Add(1)
 		}
@@ -229,7 +245,7 @@
 		n.finish(ln, start.Add(n.limits.DrainLate))
 		return
 	}
-	end := start.Add(n.limits.DrainTotal)
+	end := start.Add(n.bounds().DrainTotal)
 	time.Sleep(n.limits.DrainEarly)
 	n.admit.Drain(start.Add(n.limits.DrainLate))
 	// By now the front sends no new connections here: what is handed back comes to another node. A SIGKILL may
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -228,10 +228,10 @@
 // resize keeps the node's connections and memory within its limits, or within half of them while two processes share
 // them.
 func (n *Node) resize(half bool) {
-	l := n.limits
-	if half {
-		l = l.Half()
-	}
+	n.mu.Lock()
+	n.halved = half
+	n.mu.Unlock()
+	l := n.bounds()
 	n.conns.resize(l.ClientConns, l.SpareConns)
 	n.peers.Resize(l.PeerConns)
 	n.admit.Resize(l.OpenRequests)
@@ -240,6 +240,25 @@
 	}
 }
 
+// retime takes the limits that follow from settings which have changed: how many requests may be open, and how long a
+// drain may take.
+func (n *Node) retime(to config.Limits) {
+	n.mu.Lock()
+	n.timed.OpenRequests, n.timed.DrainTotal = min(n.limits.ClientConns, to.OpenRequests), max(n.timed.DrainTotal, to.DrainTotal)
+	n.mu.Unlock()
+	n.admit.Resize(n.bounds().OpenRequests)
+}
+
+// bounds returns the limits in force.
+func (n *Node) bounds() config.Limits {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.halved {
+		return n.timed.Half()
+	}
+	return n.timed
+}
+
 // enter makes the process the node's own: it takes the place of the one before it, if there is one, and is then the one
 // that others find. It first waits for an upstream group, as no client may come before.
 func (s *succession) enter(ctx context.Context, prior *handover.Prior) {
--- /dev/null
+++ b/internal/node/retune_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+)
+
+// retuned returns the world's configuration with other classes.
+func (w *world) retuned(classes ...balance.Class) *config.Config {
+	to := *w.config
+	to.Settings.Balance.Classes = classes
+	return &to
+}
+
+// A class is asked for from its reload on, and turned away once it is dropped, while its open job goes on under the class
+// that it was taken under. A file that cannot be taken changes nothing, and both are counted.
+func TestRetune(t *testing.T) {
+	w := start(t, nil)
+	old := w.config.Settings.Balance.Classes
+	young := old[0]
+	young.Name = "young"
+	if got := w.status("POST", "/young", "X-Request-Id", "a"); got != 404 {
+		t.Errorf("before: %d", got)
+	}
+	w.reloads <- Reload{Config: w.retuned(append(old[:2:2], young)...)}
+	w.figures(t, "gw_reloads_ok 1", `gw_served{class="young"} 0`)
+	answer := make(chan int, 1)
+	go func() { answer <- w.status("POST", "/young", "X-Request-Id", "long") }()
+	<-w.jobs
+	w.reloads <- Reload{Config: w.retuned(old[1], old[0])} // dropped, and the others in another order
+	w.figures(t, "gw_reloads_ok 2")
+	if got := w.status("POST", "/young", "X-Request-Id", "b"); got != 404 {
+		t.Errorf("dropped: %d", got)
+	}
+	w.done <- "result"
+	if got := w.status("POST", "/book", "X-Request-Id", "c", "Idempotency-Key", "k"); got != 200 {
+		t.Errorf("a class that has moved: %d", got)
+	}
+	<-w.jobs
+	w.long <- "result"
+	if got := <-answer; got != 200 {
+		t.Errorf("the open job: %d", got)
+	}
+	bad := young
+	bad.Deadline = 0
+	w.reloads <- Reload{Config: w.retuned(bad)}
+	w.reloads <- Reload{Err: errors.New("cut off")}
+	w.figures(t, "gw_reloads_ok 2", "gw_reloads_failed 2", `gw_served{class="young"} 1`, `gw_failed{class="young"} 1`, "gw_in_flight 0")
+	keyed := young
+	keyed.Effect = balance.Keyed
+	w.reloads <- Reload{Config: w.retuned(old[0], keyed)} // added again with other effects: it wants a key now
+	w.figures(t, "gw_reloads_ok 3")
+	if got := w.status("POST", "/young", "X-Request-Id", "d"); got != http.StatusBadRequest {
+		t.Errorf("with other effects: %d", got)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -185,6 +185,26 @@
 	})
 }
 
+// Retune puts other settings into effect, or says why they cannot be right. When it returns, what is accepted goes by
+// them.
+func (r *Stage) Retune(s balance.Settings) (err error) {
+	r.ask(func() { err = r.b.Retune(r.now(), s) })
+	return err
+}
+
+// ask has the owner of the Balancer do something, and waits for that, unless the stage has ended.
+func (r *Stage) ask(do func()) {
+	done := make(chan struct{})
+	r.box.post(machine.Source{Kind: machine.Drain}, func() {
+		defer close(done)
+		do()
+	})
+	select {
+	case <-done:
+	case <-r.over:
+	}
+}
+
 // Learn posts what the process before this one has learned.
 func (r *Stage) Learn(k balance.Knowledge) {
 	r.box.post(machine.Source{Kind: machine.Discovery}, func() { r.b.Learn(r.now(), k) })
@@ -193,19 +213,12 @@
 // Yield posts whether another process takes clients in this one's place, and waits for what the Balancer has learned
 // until then.
 func (r *Stage) Yield(yes bool) (k balance.Knowledge) {
-	done := make(chan struct{})
-	r.box.post(machine.Source{Kind: machine.Drain}, func() {
-		defer close(done)
+	r.ask(func() {
 		r.b.Yield(r.now(), yes)
 		k = r.b.Know()
 		k.Slots = maps.Clone(k.Slots) // the Balancer goes on with its own
 	})
-	select {
-	case <-done:
-		return k
-	case <-r.over:
-		return balance.Knowledge{}
-	}
+	return k
 }
 
 // Ends posts the news that the node will be stopped at the given time.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"swiftdeal/balance"
@@ -49,6 +51,31 @@
 	return names
 }
 
+// With returns the settings that are in force once new ones are taken, and the place of each class that may be asked for,
+// by its name. Classes keep their places, so that what is open keeps the class it was taken under: one that is dropped or
+// changed stays, a changed one stands behind it anew, and one that has been there before has its old place again.
+func (s Settings) With(to Settings) (Settings, map[string]int) {
+	classes, byName := slices.Clone(s.Balance.Classes), map[string]int{}
+	for _, c := range to.Balance.Classes {
+		at := slices.Index(classes, c)
+		if at < 0 {
+			at = len(classes)
+			classes = append(classes, c)
+		}
+		byName[c.Name] = at
+	}
+	to.Balance.Classes = classes
+	return to, byName
+}
+
+// NeedsRestart reports whether settings differ in what cannot change while a node runs: the nodes and zones, the times
+// of the host, how reports read, and how long connections to peers are kept.
+func (s Settings) NeedsRestart(to Settings) bool {
+	a, b := s.Balance, to.Balance
+	return a.Balancers != b.Balancers || a.Me != b.Me || a.Zone != b.Zone || a.DialTimeout != b.DialTimeout || a.Step != b.Step ||
+		s.Reports != to.Reports || s.Idle != to.Idle || !reflect.DeepEqual(s.Layout, to.Layout)
+}
+
 // options mirrors the keys that are used; unknown keys are skipped.
 type options struct {
 	Az         string
@@ -86,6 +113,45 @@
 	StepMs float64
 }
 
+// Form is the form of the settings' JSON: the keys that are used.
+var Form = reflect.TypeFor[options]()
+
+// needed lists the keys that each class must have; one that drops repeats must also say where, and for how long.
+var needed = []string{"name", "aimMs", "deadlineMs", "effect", "worth"}
+
+// Whole names a key that a class lacks, or that stands above no limit where it must.
+func Whole(text []byte) error {
+	var o struct {
+		Limits   map[string]json.RawMessage
+		Profiles []map[string]json.RawMessage
+	}
+	if err := json.Unmarshal(text, &o); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	for i, p := range o.Profiles {
+		has, keyed := map[string]bool{}, false
+		for k, v := range p {
+			has[strings.ToLower(k)] = string(v) != "null"
+			keyed = keyed || strings.EqualFold(k, "effect") && string(v) == `"dedup"`
+		}
+		want := needed
+		if keyed {
+			want = append(slices.Clone(needed), "dedupScope", "repeatWindowMs")
+		}
+		for _, k := range want {
+			if !has[strings.ToLower(k)] {
+				return fmt.Errorf("settings.profiles[%d].%s: missing", i, k)
+			}
+		}
+	}
+	for k, v := range o.Limits {
+		if n, err := Number(v); strings.EqualFold(k, "maxAttempts") && (err != nil || n <= 0) {
+			return fmt.Errorf("settings.limits.maxAttempts: %s is not above 0", v)
+		}
+	}
+	return nil
+}
+
 // MS turns milliseconds into a duration.
 func MS(v float64) time.Duration { return time.Duration(math.Round(v * 1e6)) }
 
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -47,7 +47,7 @@
 	{"group-off-by-one", "rule 2, the group that drops repeats", []Change{
 		{balancer, "(r.c.Scope == SameCell && w.Cell != ran.w.Cell)", "(r.c.Scope == SameCell && w.Zone != ran.w.Zone)"}}},
 	{"tries-without-end", "rule 2, the most attempts", []Change{
-		{state, "return b.s.MaxAttempts > 0 && len(r.attempts)+left >= b.s.MaxAttempts", "return false"}}},
+		{state, "return r.sends > 0 && len(r.attempts)+left >= r.sends", "return false"}}},
 	{"copies-at-will", "rule 2, second copies where none may be", []Change{
 		{balancer, "if !b.s.MayCancel || !b.s.SecondCopies {", "if !b.s.MayCancel {"},
 		{balancer, "			b.act.Cancel(r.ID, slices.Index(r.attempts, a))\n", ""}}},
