Move open requests to the new process with both of their connections

Checked: the lost ones are those that the old process gave up at 3.3 s (log: open=10 to 15 at each replacement, the long ones among them); ruled out: connections (none refused or closed), room (attempts a request 1.02). Design: request, attempts and charge go from one module to the other (balance.Release, Adopt); the peer's connection is given away by its own reader with what has come of the answer, the client's is taken from the server, and the new process reads the answer anew. Where the link fails the old process takes the request up itself. Not taken: ending them there (the loss above); sending anew (a repeat that fragile and grouped classes forbid); passing the state of a half read answer (three readers deep). Tests: two replacements in a row under one job, a client that leaves at the third process, a new process that dies with requests on their way; race detector clean.

--- a/balance/know_test.go
+++ b/balance/know_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +96,52 @@
 		t.Errorf("got %v", h.log)
 	}
 }
+
+// A request that another balancer has given up goes on with all that was done for it: its attempt that is out is charged,
+// what comes of it is taken as if sent from here, and its class's allowance is kept.
+func TestMoved(t *testing.T) {
+	s := settings()
+	s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Window = Keyed, SameZone, 5*time.Second
+	s.MaxAttempts = 3
+	for _, c := range []struct {
+		result Result
+		at     time.Duration
+		want   string
+	}{
+		{OK, 2 * time.Second, ""},
+		{Full, 2 * time.Second, "send r w2"},
+		{Reset, 2 * time.Second, "send r w2"},
+		{Reset, 7 * time.Second, "fail r"}, // past the window, counted from the send at the other one
+	} {
+		old, h := ready(t, s, map[string][2]float64{"w1": {1, 9}})
+		old.Accept(time.Second, req("r", 1, 0))
+		if out, last, ok := old.Out("r"); out != 1 || last != 0 || !ok || len(h.take("send r w1")) != 1 {
+			t.Fatal(out, last, ok)
+		}
+		m, ok := old.Release(time.Second, "r")
+		if _, again := old.Release(time.Second, "r"); !ok || again || old.Charged("w1") != 0 || len(old.reqs) != 0 {
+			t.Fatalf("%v %v, charged %d", ok, again, old.Charged("w1"))
+		}
+		young, h := ready(t, s, map[string][2]float64{"w2": {3, 9}})
+		told := 0
+		if !young.Adopt(time.Second, m, func() { told++ }) || told != 1 || young.Charged("w1") != 1 {
+			t.Fatalf("told %d times, charged %d", told, young.Charged("w1"))
+		}
+		if young.Adopt(time.Second, m, func() {}) {
+			t.Error("taken twice")
+		}
+		h.log = nil
+		young.Done(c.at, Outcome{Request: "r", Worker: "w1", Result: c.result, Final: c.result == OK})
+		got := strings.Join(slices.DeleteFunc(h.log, func(l string) bool { return l[:4] != "send" && l[:4] != "fail" }), ";")
+		if got != c.want || young.Charged("w1") != 0 {
+			t.Errorf("%+v: got %q, charged %d", c, got, young.Charged("w1"))
+		}
+	}
+	held, _ := ready(t, s, map[string][2]float64{"w1": {0, 9}})
+	held.Accept(time.Second, req("r", 1, 0))
+	m, _ := held.Release(time.Second, "r")
+	young, h := ready(t, s, map[string][2]float64{"w2": {3, 9}})
+	if young.Adopt(time.Second, m, func() {}); len(h.take("send r w2")) != 1 {
+		t.Errorf("a request that waited: %v", h.log)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -297,10 +297,8 @@
 func (b *Balancer) member(m Worker) {
 	w := b.byID[m.ID]
 	if w == nil {
-		w = &worker{marks: map[uint64]time.Duration{}, guess: 1, heard: b.now, rep: Report{Queue: -1}}
-		b.byID[m.ID] = w
+		w = b.stranger(m)
 		w.probed, w.jitter = b.now, b.chance()/4
-		w.turn = b.turn(m.ID)
 	} else if m.Started > w.Started { // restarted: what was known of it is void
 		w.restarted()
 		w.probed = 0 // probe at once
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -82,13 +82,29 @@
 		c.Finish(request.Answer{Verdict: request.Refused, Reason: "too many open requests", Wait: s.limits.RefusedFor})
 		return false
 	}
-	// Guards against a request that no stage answers: whatever goes wrong, the client hears of it in time.
+	s.wind(c)
+	return true
+}
+
+// wind sets the backstop; s.mu is held. Guards against a request that no stage answers: whatever goes wrong, the client
+// hears of it in time.
+func (s *Stage) wind(c *request.Context) {
 	at := c.Deadline.Add(-s.limits.AnswerMargin)
 	s.open[c.ID] = &backstop{at: at, Timer: time.AfterFunc(time.Until(at), func() {
 		if c.Finish(request.Answer{Verdict: request.Failed, Reason: "out of time"}) {
 			s.late(c)
 		}
 	})}
+}
+
+// Adopt admits a request that another process had admitted, whatever the room.
+func (s *Stage) Adopt(c *request.Context) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[c.ID] != nil {
+		return refuse(c, request.Failed, "in use by an open request")
+	}
+	s.wind(c)
 	return true
 }
 
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -33,6 +33,7 @@
 	// Requests by the answer that their clients got; Failed is any that is neither a result nor a refusal. Those whose
 	// clients left first are Gone.
 	Served, Refused, Failed, Gone int64
+	Moved                         int64 // to the process that has taken this one's place
 	Attempts                      int64 // tries written whole to peers
 }
 
@@ -86,6 +87,8 @@
 		t.Refused++
 	case v == request.Gone:
 		t.Gone++
+	case v == request.Moved:
+		t.Moved++
 	default:
 		t.Failed++
 	}
@@ -98,7 +101,7 @@
 	v := c.Answer().Verdict
 	s.count[v]++
 	s.tally[c.ClassName].add(v)
-	if !taken && v != request.Gone {
+	if !taken && v != request.Gone && v != request.Moved {
 		s.lost++
 	}
 	took := time.Since(c.Arrived)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -63,9 +63,12 @@
 	ControlWrite time.Duration // for a caller to take its answer
 
 	// Replacing a process by another one.
-	HandWait time.Duration // for a message to come, or to be taken
-	GiveUp   time.Duration // the replaced process gives up what is open so long before it must have ended
-	BindWait time.Duration // for a listener's address that another process still holds
+	HandWait   time.Duration // for a message to come, or to be taken
+	SeenBytes  int           // of a peer's answer that has begun, kept so that it can be read anew
+	DetachWait time.Duration // for a try to come off its connection
+	MoveAgain  time.Duration // a request that could not go is tried again after this
+	GiveUp     time.Duration // the replaced process gives up what is open so long before it must have ended
+	BindWait   time.Duration // for a listener's address that another process still holds
 
 	ViewEvery time.Duration // between two looks of the figures at the decision module
 	BookEvery time.Duration // between two lines of the books in the log
@@ -97,6 +100,7 @@
 		DrainLate: 3500 * time.Millisecond,
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
 		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second,
+		SeenBytes: 4 << 10, DetachWait: 20 * time.Millisecond, MoveAgain: 20 * time.Millisecond,
 		HandWait: time.Second, GiveUp: 200 * time.Millisecond, BindWait: 15 * time.Second,
 		ViewEvery: 100 * time.Millisecond, BookEvery: time.Minute,
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -80,7 +80,7 @@
 			t.Errorf("%+v", m)
 		}
 		old.Send(Message{Kind: Welcome, Version: Version, Group: &g}, ln)
-		old.Send(Message{Kind: Client}, held)
+		old.Send(Message{Kind: Job, Work: &Work{}}, held, held)
 		held.Close()
 		over <- old.Close()
 	}()
@@ -92,10 +92,12 @@
 		t.Errorf("%+v", prior.Group.Version)
 	}
 	got.Close()
-	m, c, err := young.Receive(time.Second)
-	if err != nil || m.Kind != Client {
-		t.Fatal(m, err)
+	m, both, err := young.Receive(time.Second)
+	if err != nil || m.Kind != Job || len(both) != 2 {
+		t.Fatal(m, both, err)
 	}
+	c := both[0]
+	both[1].(net.Conn).Close()
 	if err := <-over; err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +114,7 @@
 func TestAskRefused(t *testing.T) {
 	for _, m := range []Message{{Kind: Refused, Reason: "busy"}, {Kind: Welcome, Version: Version + 1, Group: &config.Group{}}, {Kind: Welcome, Version: Version, Group: &config.Group{}}, {Kind: Taken}} {
 		old, young, _ := pair(t, t.TempDir())
-		go old.Send(m, nil)
+		go old.Send(m)
 		if p, _, err := Ask(young, "x", time.Second); err == nil {
 			t.Errorf("%+v gives %+v", m, p)
 		}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -9,12 +9,12 @@
 
 // Link is a connection between two processes of the node. One goroutine may receive while others send.
 type Link interface {
-	// Send sends a message and, beside it, passes a *net.TCPConn or a *net.TCPListener, or what stands for one in a
-	// simulation; nil passes nothing. It takes at most as long as the link was set up to wait.
-	Send(m Message, pass any) error
-	// Receive returns the next message and the listener or connection that came with it: a net.Listener, a net.Conn, or
-	// nil. It fails after wait, if that is not 0, and at the end of the link.
-	Receive(wait time.Duration) (m Message, passed any, err error)
+	// Send sends a message and, beside it, passes a *net.TCPListener or up to two *net.TCPConn, or what stands for them in
+	// a simulation. It takes at most as long as the link was set up to wait.
+	Send(m Message, pass ...any) error
+	// Receive returns the next message, and the net.Listener or the net.Conn that came with it. It fails after wait, if
+	// that is not 0, and at the end of the link.
+	Receive(wait time.Duration) (m Message, passed []any, err error)
 	Close() error
 }
 
@@ -41,14 +41,17 @@
 			l.Close()
 		}
 	}()
-	if err := l.Send(Message{Kind: Hello, Version: Version, Listen: listen}, nil); err != nil {
+	if err := l.Send(Message{Kind: Hello, Version: Version, Listen: listen}); err != nil {
 		return nil, nil, err
 	}
 	m, passed, err := l.Receive(wait)
 	if err != nil {
 		return nil, nil, err
 	}
-	ln, ok := passed.(net.Listener)
+	var ok bool
+	if len(passed) == 1 {
+		ln, ok = passed[0].(net.Listener)
+	}
 	if m.Kind != Welcome || m.Version != Version || m.Group == nil || !ok {
 		if ok {
 			ln.Close()
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
@@ -27,6 +28,7 @@
 	Take    Kind = "take"    // new: takes clients from now on
 	Taken   Kind = "taken"   // old: takes no more; what it knows
 	Client  Kind = "client"  // old: a client's idle connection
+	Job     Kind = "job"     // old: an open request, with its client's connection and that to the peer it is at
 )
 
 // Message is one message. A listening socket or a connection goes beside it.
@@ -37,6 +39,22 @@
 	Reason  string             `json:",omitempty"` // of a refusal
 	Group   *config.Group      `json:",omitempty"`
 	Know    *balance.Knowledge `json:",omitempty"`
+	Work    *Work              `json:",omitempty"`
+}
+
+// Work is an open request as it goes to another process.
+type Work struct {
+	ClassName, Method, Target, Host string
+	Class                           balance.Class // under which it was taken
+	Header                          map[string][]string
+	Body                            []byte
+	Arrived, Deadline               time.Time
+	State                           balance.Moved
+	Last                            bool   // its client's connection ends with the answer
+	Ahead                           []byte // what its client has sent beyond it
+	Try                             int    // the attempt that is out, and goes along
+	Peer                            string // where that is; empty if none is out
+	Seen                            []byte // what the peer has answered so far
 }
 
 // maxMessage is the most bytes of a message.
@@ -66,7 +84,7 @@
 		return m, 0, err
 	}
 	n := binary.BigEndian.Uint32(h[:4])
-	if n > maxMessage || h[4] > 1 {
+	if n > maxMessage || h[4] > 2 {
 		return m, 0, fmt.Errorf("a message of %d bytes with %d descriptors", n, h[4])
 	}
 	text, err := io.ReadAll(io.LimitReader(r, int64(n)))
@@ -80,7 +98,7 @@
 		return m, 0, err
 	}
 	switch m.Kind {
-	case Hello, Welcome, Refused, Take, Taken, Client:
+	case Hello, Welcome, Refused, Take, Taken, Client, Job:
 	default:
 		return m, 0, fmt.Errorf("a message of kind %q", m.Kind)
 	}
--- a/internal/handover/unix.go
+++ b/internal/handover/unix.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 )
 
 // longest is the most bytes of a Unix socket's path.
@@ -86,25 +87,36 @@
 }
 
 // Send implements Link.
-func (l *unixLink) Send(m Message, pass any) error {
+func (l *unixLink) Send(m Message, pass ...any) error {
 	var rights []byte
-	n := 0
-	if pass != nil {
-		s, ok := pass.(syscall.Conn)
-		if !ok {
-			return fmt.Errorf("a %T cannot be passed", pass)
-		}
-		raw, err := s.SyscallConn()
-		if err != nil {
-			return err
-		}
-		// A copy, since the write must not be made under the socket's lock: that would hold up its reader.
-		fd := -1
-		if cerr := raw.Control(func(of uintptr) { fd, err = syscall.Dup(int(of)) }); cerr != nil || err != nil {
-			return errors.Join(cerr, err)
+	n := len(pass)
+	if n > 0 {
+		fds := make([]int, 0, n)
+		defer func() {
+			for _, fd := range fds {
+				syscall.Close(fd)
+			}
+		}()
+		for _, p := range pass {
+			s, ok := p.(syscall.Conn)
+			if !ok {
+				return fmt.Errorf("a %T cannot be passed", p)
+			}
+			raw, err := s.SyscallConn()
+			if err != nil {
+				return err
+			}
+			// A copy, since the write must not be made under the socket's lock: that would hold up its reader.
+			if cerr := raw.Control(func(of uintptr) {
+				var fd int
+				if fd, err = unix.FcntlInt(of, unix.F_DUPFD_CLOEXEC, 0); err == nil {
+					fds = append(fds, fd)
+				}
+			}); cerr != nil || err != nil {
+				return errors.Join(cerr, err)
+			}
 		}
-		defer syscall.Close(fd)
-		rights, n = syscall.UnixRights(fd), 1
+		rights = syscall.UnixRights(fds...)
 	}
 	text, err := encode(m, n)
 	if err != nil {
@@ -143,7 +155,7 @@
 }
 
 // Receive implements Link.
-func (l *unixLink) Receive(wait time.Duration) (Message, any, error) {
+func (l *unixLink) Receive(wait time.Duration) (Message, []any, error) {
 	var by time.Time
 	if wait > 0 {
 		by = time.Now().Add(wait)
@@ -153,18 +165,26 @@
 	if err != nil || n == 0 {
 		return m, nil, err
 	}
-	if len(l.passed) == 0 {
+	if len(l.passed) < n {
 		return m, nil, errors.New("a descriptor is missing")
 	}
-	f := os.NewFile(uintptr(l.passed[0]), "passed")
-	l.passed = l.passed[1:]
-	defer f.Close()
-	if m.Kind == Welcome {
-		ln, err := net.FileListener(f)
-		return m, ln, err
+	var passed []any
+	for _, fd := range l.passed[:n] {
+		f := os.NewFile(uintptr(fd), "passed")
+		var p any
+		var ferr error
+		if m.Kind == Welcome {
+			p, ferr = net.FileListener(f)
+		} else {
+			p, ferr = net.FileConn(f)
+		}
+		f.Close()
+		if err = errors.Join(err, ferr); ferr == nil {
+			passed = append(passed, p)
+		}
 	}
-	c, err := net.FileConn(f)
-	return m, c, err
+	l.passed = l.passed[n:]
+	return m, passed, err
 }
 
 // Close implements Link.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/route"
 	"swiftdeal/internal/send"
+	"swiftdeal/internal/settings"
 	"swiftdeal/internal/takein"
 	"swiftdeal/internal/upstream"
 )
@@ -40,6 +42,8 @@
 	mu       sync.Mutex
 	timed    config.Limits // limits with what the settings in force make of them
 	halved   bool          // two processes share them
+	settle   sync.Mutex
+	inForce  settings.Settings // with all classes that there have been; guarded by settle
 	standing standing
 	next     *succession // nil: the process cannot be replaced without a gap
 	log      *slog.Logger
@@ -77,7 +81,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	n := &Node{
-		limits: c.Limits, timed: c.Limits, route: r, conns: newConnections(c.Limits),
+		limits: c.Limits, timed: c.Limits, inForce: c.Settings, route: r, conns: newConnections(c.Limits),
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
@@ -87,14 +91,16 @@
 	known, list := c.Known, upstream.Events(r)
 	if d.Heirs != nil || d.Prior != nil {
 		roster, doors := &roster{Stage: r}, newEntrance(d.Clients)
-		n.next = &succession{n: n, doors: doors, heirs: d.Heirs, listen: c.Listen, group: roster, links: map[handover.Link]bool{}}
+		n.next = &succession{n: n, doors: doors, heirs: d.Heirs, listen: c.Listen, group: roster, links: map[io.Closer]bool{}, going: make(chan struct{})}
 		list, d.Clients = roster, doors
 	}
 	if d.Prior != nil && d.Prior.Group.Version >= known.Version {
 		known = d.Prior.Group
 	}
 	peers, group := send.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), upstream.New(c.Limits, m.Dial, c.Discovery, known.Version, list)
-	n.peers = peers
+	if n.peers = peers; n.next != nil {
+		peers.Movable()
+	}
 	defer peers.Close()
 	defer group.Close()
 	defer n.book.End()
@@ -140,7 +146,6 @@
 
 // reload puts new configurations into effect, one after the other.
 func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan Reload) {
-	inForce := c.Settings
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,14 +160,12 @@
 			if keys := c.NeedsRestart(to); len(keys) > 0 {
 				n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
 			}
-			now, byName := inForce.With(to.Settings)
-			now.Balance.MustAsk = true
-			if err := n.route.Retune(now.Balance); err != nil {
+			now, byName, err := n.retune(to.Settings)
+			if err != nil {
 				n.log.Error("the settings are faulty, the old ones stay", "error", err)
 				n.reloadsFailed.Add(1)
 				continue
 			}
-			inForce = now
 			n.book.Classes(to.Settings.ClassNames())
 			n.admit.Retune(now.Balance.Classes, byName)
 			n.retime(to.Limits)
@@ -173,6 +176,18 @@
 	}
 }
 
+// retune puts settings into effect.
+func (n *Node) retune(to settings.Settings) (settings.Settings, map[string]int, error) {
+	n.settle.Lock()
+	defer n.settle.Unlock()
+	now, byName := n.inForce.With(to)
+	if err := n.route.Retune(now.Balance); err != nil {
+		return now, nil, err
+	}
+	n.inForce = now
+	return now, byName, nil
+}
+
 // events takes what becomes of tries and probes: to route, and what was written to the books.
 type events struct {
 	*route.Stage
@@ -202,12 +217,10 @@
 			n.route.Accept(c)
 		}
 	}
-	select {
-	case <-c.Ended():
-	case <-r.Context().Done():
-		if c.Finish(request.Answer{Verdict: request.Gone}) {
-			n.route.Vanished(c)
-		}
+	last := spare || r.ContentLength < 0 || r.Close || !r.ProtoAtLeast(1, 1)
+	if !n.await(c, w, nil, r.Context().Done(), admitted, last) {
+		n.book.Close(c, true)
+		return
 	}
 	if admitted {
 		n.admit.Leave(c)
@@ -222,6 +235,45 @@
 	taken = n.relay.Write(w, a, leaving || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
 }
 
+// await waits for a request's answer, or for its client to leave. It returns false once the request has gone to another
+// process: nothing is left to be done here. Its client's connection is the server's, behind w, or was carried here.
+func (n *Node) await(c *request.Context, w http.ResponseWriter, client *carried, left <-chan struct{}, admitted, last bool) (stays bool) {
+	for {
+		select {
+		case <-c.Ended():
+			return true
+		default:
+		}
+		moves := n.next.moves()
+		if !admitted {
+			moves = nil
+		}
+		select {
+		case <-c.Ended():
+			return true
+		case <-left:
+			if c.Finish(request.Answer{Verdict: request.Gone}) {
+				n.route.Vanished(c)
+			}
+			return true
+		case <-moves:
+		}
+		from := held(client)
+		if client == nil {
+			from = hijacked{w}
+		}
+		if n.next.move(c, from, last) {
+			return false
+		}
+		timer := time.NewTimer(n.limits.MoveAgain)
+		select {
+		case <-c.Ended():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
 // ready answers whether clients may come: there is a list of peers, and the node is not about to end.
 func (n *Node) ready(w http.ResponseWriter) {
 	code := http.StatusServiceUnavailable
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,6 +90,7 @@
 		t.Fatal(err)
 	}
 	w.calls = calls.Addr().String()
+	ended := w.ended
 	d := Doors{Clients: ln, Control: calls, Reloads: w.reloads}
 	for _, dir := range dir { // another process may take over
 		if d.Heirs, err = handover.Listen(dir, c.Listen, time.Second); err != nil {
@@ -97,7 +98,7 @@
 		}
 	}
 	go func() {
-		w.ended <- Serve(ctx, machine.Real(), c, d, slog.New(slog.DiscardHandler))
+		ended <- Serve(ctx, machine.Real(), c, d, slog.New(slog.DiscardHandler))
 	}()
 	for w.status("GET", "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 
@@ -23,8 +24,10 @@
 	mu    sync.Mutex
 	turn  handover.Turn
 	link  int // of those that asked, counted
-	links map[handover.Link]bool
-	over  bool // nothing is to be started any more
+	links map[io.Closer]bool
+	heir  handover.Link // to the process that takes clients; nil: none does
+	going chan struct{} // closed while open requests are to go there
+	over  bool          // nothing is to be started any more
 	work  sync.WaitGroup
 	gives sync.WaitGroup // connections on their way
 }
@@ -57,7 +60,7 @@
 // and passes its connections as they become idle. A link that fails means that there is nobody to wait for.
 func (s *succession) takeOver(l handover.Link) {
 	limits := s.n.limits
-	err := l.Send(handover.Message{Kind: handover.Take}, nil)
+	err := l.Send(handover.Message{Kind: handover.Take})
 	var m handover.Message
 	if err == nil {
 		m, _, err = l.Receive(limits.HandWait)
@@ -70,21 +73,26 @@
 	s.n.log.Info("took over", "error", err)
 	s.start(l, func() {
 		for count := 0; ; count++ {
-			m, c, err := l.Receive(0)
+			m, passed, err := l.Receive(0)
 			if err != nil {
 				s.n.log.Info("the process before this one is gone", "clients", count, "why", err)
 				s.n.resize(false)
 				return
 			}
-			if c, ok := c.(net.Conn); ok && m.Kind == handover.Client {
-				s.doors.bring(c)
+			if m.Kind == handover.Job {
+				s.adopt(m.Work, passed)
+			}
+			for _, c := range passed {
+				if c, ok := c.(net.Conn); ok && m.Kind == handover.Client {
+					s.doors.bring(c)
+				}
 			}
 		}
 	})
 }
 
-// start does the work on a link, which is closed after it, or when all ends.
-func (s *succession) start(l handover.Link, work func()) {
+// start does the work on a link or a connection, which is closed when all ends, and a link after its work too.
+func (s *succession) start(l io.Closer, work func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over {
@@ -96,7 +104,9 @@
 	go func() {
 		defer s.work.Done()
 		work()
-		l.Close()
+		if _, ok := l.(handover.Link); ok {
+			l.Close()
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.links, l)
@@ -149,7 +159,7 @@
 	}
 	refuse := func(reason string) {
 		s.n.log.Warn("a process that wants to take over is refused", "reason", reason)
-		l.Send(handover.Message{Kind: handover.Refused, Version: handover.Version, Reason: reason}, nil)
+		l.Send(handover.Message{Kind: handover.Refused, Version: handover.Version, Reason: reason})
 	}
 	if m.Version != handover.Version || m.Listen != s.listen {
 		refuse("another version or another node")
@@ -178,6 +188,9 @@
 	s.mu.Unlock()
 	s.n.log.Info("the process that takes over is gone", "takes_clients_again", back, "why", err)
 	if back {
+		s.mu.Lock()
+		s.heir, s.going = nil, make(chan struct{})
+		s.mu.Unlock()
 		s.n.conns.yield(nil)
 		s.n.route.Yield(false)
 		s.n.resize(false)
@@ -190,7 +203,7 @@
 	s.doors.shut(true)
 	s.n.resize(true)
 	know := s.n.route.Yield(true)
-	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know}, nil); err != nil {
+	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know}); err != nil {
 		return err
 	}
 	s.n.log.Info("another process takes clients from now on", "open", s.n.admit.Open(), "connections", s.n.conns.count())
@@ -202,9 +215,23 @@
 			l.Send(handover.Message{Kind: handover.Client}, c)
 		}()
 	})
+	s.mu.Lock()
+	s.heir = l
+	close(s.going)
+	s.mu.Unlock()
 	return nil
 }
 
+// moves is closed while open requests are to go to another process.
+func (s *succession) moves() <-chan struct{} {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.going
+}
+
 // yielded reports whether another process takes clients.
 func (s *succession) yielded() bool {
 	if s == nil {
--- a/internal/node/replace_test.go
+++ b/internal/node/replace_test.go
@@ -17,7 +17,7 @@
 )
 
 // successor starts a second process of the world's node, in the way of the first: it asks for the listening socket.
-func (w *world) successor(t *testing.T, dir string) (stop func(), ended chan error) {
+func (w *world) successor(t *testing.T, dir string, next ...string) (stop func(), ended chan error) {
 	t.Helper()
 	link, err := handover.Find(dir, w.config.Listen, time.Second)
 	if err != nil {
@@ -27,7 +27,7 @@
 	if d.Prior, d.Clients, err = handover.Ask(link, w.config.Listen, time.Second); err != nil {
 		t.Fatal(err)
 	}
-	if d.Heirs, err = handover.Listen(t.TempDir(), w.config.Listen, time.Second); err != nil {
+	if d.Heirs, err = handover.Listen(append(next, t.TempDir())[0], w.config.Listen, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	if d.Control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -71,8 +71,7 @@
 }
 
 // A second process takes over while clients are served: connections that are idle, or new and silent, or become idle go
-// on there, nothing is reset, and the first one ends once it is told to. Of a second one that dies the first takes back
-// its place.
+// on there, and so does a job that runs; nothing is reset, and the first one ends once it is told to.
 func TestReplace(t *testing.T) {
 	dir := t.TempDir()
 	w := start(t, nil, dir)
@@ -91,7 +90,7 @@
 	for i, c := range []client{idle, silent, w.client(t)} {
 		c.ask(fmt.Sprint("c", i))
 		<-w.jobs
-		w.figures(t, "gw_in_flight 1") // at the second process
+		w.figures(t, "gw_in_flight 2") // at the second process, the long one too
 		w.done <- "result"
 		c.served(t)
 		w.figures(t, fmt.Sprintf(`gw_served{class="job"} %d`, i+1))
@@ -108,7 +107,7 @@
 		w.done <- "result"
 		c.served(t)
 	}
-	w.figures(t, `gw_served{class="job"} 5`)
+	w.figures(t, `gw_served{class="job"} 6`, "gw_in_flight 0")
 	w.stop()
 	if err := <-w.ended; err != nil {
 		t.Error(err)
@@ -140,7 +139,7 @@
 			t.Fatal(err)
 		}
 		if take {
-			link.Send(handover.Message{Kind: handover.Take}, nil)
+			link.Send(handover.Message{Kind: handover.Take})
 			if m, _, err := link.Receive(time.Second); err != nil || m.Kind != handover.Taken || len(m.Know.Workers) != 1 {
 				t.Fatalf("%+v %v", m, err)
 			}
@@ -171,7 +170,7 @@
 // A job that would outlive the replaced process is answered before that ends, and the process ends well.
 func TestReplacedInTime(t *testing.T) {
 	dir := t.TempDir()
-	w := start(t, func(l *config.Limits) { l.DrainLate = 100 * time.Millisecond }, dir)
+	w := start(t, func(l *config.Limits) { l.DrainLate, l.SeenBytes = 100*time.Millisecond, 0 }, dir) // so that it cannot move
 	c := w.client(t)
 	c.ask("a")
 	<-w.jobs
@@ -185,3 +184,71 @@
 		t.Error(err)
 	}
 }
+
+// A job that runs outlives two replacements, and a client that leaves in the third process is noticed there.
+func TestMoveTwice(t *testing.T) {
+	dir := t.TempDir()
+	w := start(t, nil, dir)
+	stays, leaves := w.client(t), w.client(t)
+	stays.ask("long")
+	<-w.jobs
+	leaves.ask("long2")
+	<-w.jobs
+	for range 2 {
+		next := t.TempDir()
+		stop, ended := w.stop, w.ended
+		w.stop, w.ended = w.successor(t, dir, next)
+		w.figures(t, "gw_in_flight 2", `gw_attempts{class="job"} 0`)
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		dir = next
+	}
+	leaves.Close()
+	<-w.left
+	w.figures(t, "gw_in_flight 1")
+	w.long <- "result"
+	stays.served(t)
+	w.figures(t, `gw_served{class="job"} 1`, "gw_in_flight 0")
+	stays.ask("again")
+	<-w.jobs
+	w.done <- "result"
+	stays.served(t)
+	stays.Close()
+	w.stop()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A job that could not go because the other process has died goes on where it was.
+func TestMoveBack(t *testing.T) {
+	dir := t.TempDir()
+	w := start(t, nil, dir)
+	c := w.client(t)
+	c.ask("long")
+	<-w.jobs
+	link, err := handover.Find(dir, w.config.Listen, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ln, err := handover.Ask(link, w.config.Listen, time.Second); err != nil {
+		t.Fatal(err)
+	} else {
+		ln.Close()
+	}
+	link.Send(handover.Message{Kind: handover.Take})
+	link.Close()
+	for code := 0; code != 200; code, _ = w.call(t, "GET", "/-/ready") {
+		time.Sleep(time.Millisecond)
+	}
+	w.figures(t, "gw_in_flight 1")
+	w.long <- "result"
+	c.served(t)
+	w.figures(t, `gw_served{class="job"} 1`, `gw_attempts{class="job"} 1`, "gw_in_flight 0")
+	c.ask("again")
+	<-w.jobs
+	w.done <- "result"
+	c.served(t)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -21,7 +21,8 @@
 	UnknownClass // no such class
 	WrongMethod
 	TooLarge
-	Gone // the client left first; nobody is there to be answered
+	Gone  // the client left first; nobody is there to be answered
+	Moved // it goes on in another process of the node
 	verdicts
 )
 
@@ -29,7 +30,7 @@
 const Verdicts = int(verdicts)
 
 var names = [Verdicts]string{
-	"served", "refused", "failed", "malformed", "unknown_class", "wrong_method", "too_large", "gone",
+	"served", "refused", "failed", "malformed", "unknown_class", "wrong_method", "too_large", "gone", "moved",
 }
 
 // Faulty reports whether the request itself was at fault.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -192,6 +192,50 @@
 	return err
 }
 
+// Release gives up a request that is open, so that another process goes on with it. detach takes its one try that is out
+// off its connection, and reports whether that could be; none is taken where none is out. It returns false for a request
+// that stays, because it is over or two of its tries are out.
+func (r *Stage) Release(c *request.Context, detach func() bool) (m balance.Moved, try int, peer string, ok bool) {
+	r.ask(func() {
+		e := r.open[c.ID]
+		if e == nil || e.c != c || e.over {
+			return
+		}
+		out, last, open := r.b.Out(c.ID)
+		if !open || out > 1 || (out == 1 && !detach()) {
+			return
+		}
+		if m, ok = r.b.Release(r.now(), c.ID); ok && out == 1 {
+			try, peer = last, m.Tries[last].Worker.ID
+		}
+		e.end()
+		delete(r.open, c.ID)
+	})
+	return m, try, peer, ok
+}
+
+// Adopt goes on with a request that another process has given up. resume takes up its try that is out, and returns what
+// calls it off. A request that cannot be taken is answered.
+func (r *Stage) Adopt(c *request.Context, m balance.Moved, try int, resume func() (cancel func())) {
+	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
+		m.Request = c.Request
+		e := &entry{c: c}
+		for range m.Tries {
+			e.cancels = append(e.cancels, func() {})
+		}
+		if r.open[c.ID] != nil || !r.b.Adopt(r.now(), m, func() { r.open[c.ID] = e }) {
+			c.Finish(request.Answer{Verdict: request.Failed, Reason: "could not go on after a replacement"})
+			if resume != nil {
+				resume()() // called off
+			}
+			return
+		}
+		if resume != nil {
+			e.out, e.cancels[try] = 1, resume()
+		}
+	})
+}
+
 // ask has the owner of the Balancer do something, and waits for that, unless the stage has ended.
 func (r *Stage) ask(do func()) {
 	done := make(chan struct{})
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -29,6 +29,7 @@
 	addr  string
 	limit *io.LimitedReader
 	r     *bufio.Reader
+	tap   *tap        // nil where tries do not move
 	use   *exchange   // the exchange in hand, nil while idle; guarded by pool.mu
 	timer *time.Timer // closes the connection when it has been idle too long
 }
@@ -43,6 +44,7 @@
 	all    map[*conn]bool
 	count  int // connections that are open or coming up
 	closed bool
+	tries  map[string]*exchange // the latest of each request, where they may go to another process; else nil
 }
 
 func newPool(l config.Limits, d machine.Dial) *pool {
@@ -127,12 +129,41 @@
 		p.count--
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: at.addr, use: x}
+	c := p.conn(raw, x, at.addr)
+	go c.serve()
+	return c, nil
+}
+
+// conn makes a connection that carries an exchange; p.mu is held.
+func (p *pool) conn(raw net.Conn, x *exchange, addr string) *conn {
+	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: addr, use: x}
 	p.all[c] = true
 	c.limit = &io.LimitedReader{R: raw, N: math.MaxInt64}
+	if p.tries != nil {
+		c.tap = &tap{raw: raw, most: p.limits.SeenBytes}
+		c.limit.R = c.tap
+	}
 	c.r = bufio.NewReaderSize(c.limit, 4<<10)
-	go c.serve()
-	return c, nil
+	return c
+}
+
+// keep and forget know which try of a request is the latest, where that matters.
+func (p *pool) keep(x *exchange) {
+	if p.tries != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.tries[x.name] = x
+	}
+}
+
+func (p *pool) forget(x *exchange) {
+	if p.tries != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.tries[x.name] == x {
+			delete(p.tries, x.name)
+		}
+	}
 }
 
 // remove closes an idle connection and takes it out; p.mu is held. Its reader finds it closed.
@@ -163,6 +194,9 @@
 // put makes a connection idle. It reports whether it was still in use and may go on.
 func (p *pool) put(c *conn) bool {
 	c.SetReadDeadline(time.Time{})
+	if c.tap != nil {
+		c.tap.next()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.addrs[c.peer] != c.addr || p.closed {
@@ -188,7 +222,12 @@
 // serve reads answers until the connection ends.
 func (c *conn) serve() {
 	defer func() {
-		c.Close()
+		if !c.tap.left() { // else it is another process's
+			c.Close()
+		}
+		if c.tap != nil {
+			c.tap.next()
+		}
 		c.pool.mu.Lock()
 		c.pool.remove(c)
 		delete(c.pool.all, c)
@@ -202,7 +241,12 @@
 			return
 		}
 		if err != nil || !c.answer(x) {
-			x.broken()
+			if c.tap.left() {
+				c.pool.forget(x)
+				x.detached()
+			} else {
+				x.broken()
+			}
 			return
 		}
 		if !c.pool.put(c) {
@@ -223,7 +267,9 @@
 		}
 	}
 	c.limit.N = math.MaxInt64
-	x.read(resp)
+	if x.read(resp); c.tap.left() {
+		return false
+	}
 	// The connection is of use again only once the answer has been read to its end.
 	c.SetReadDeadline(time.Now().Add(c.pool.limits.TailWait))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(c.pool.limits.LineBytes)))
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -57,13 +57,7 @@
 
 // Try starts a try of a request at a peer.
 func (s *Stage) Try(c *request.Context, attempt int, peer string) (cancel func()) {
-	x := &exchange{peer: peer, name: c.ID, method: c.Method}
-	x.read = func(resp *http.Response) { s.job(x, c.ID, attempt, resp) }
-	x.done = func(e ending) {
-		s.events.Ended(balance.Outcome{
-			Request: c.ID, Attempt: attempt, Worker: peer, Result: e.result, Took: e.took, Report: e.report,
-		}, e.text)
-	}
+	x := s.exchange(c, attempt, peer)
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
 	go func() {
 		if x.run(ctx, s.pool, at, head(c), c.Body) {
@@ -73,6 +67,20 @@
 	return func() { x.cancel(errCancelled) }
 }
 
+// exchange makes the exchange of a try.
+func (s *Stage) exchange(c *request.Context, attempt int, peer string) *exchange {
+	x := &exchange{peer: peer, name: c.ID, method: c.Method}
+	x.read = func(resp *http.Response) { s.job(x, c.ID, attempt, resp) }
+	x.done = func(e ending) {
+		s.pool.forget(x)
+		s.events.Ended(balance.Outcome{
+			Request: c.ID, Attempt: attempt, Worker: peer, Result: e.result, Took: e.took, Report: e.report,
+		}, e.text)
+	}
+	s.pool.keep(x)
+	return x
+}
+
 // headBytes is what most heads fit in.
 const headBytes = 512
 
@@ -167,7 +175,9 @@
 			return
 		}
 	}
-	x.abort(balance.Reset) // the answer breaks off, or a line is too long
+	if !x.left() {
+		x.abort(balance.Reset) // the answer breaks off, or a line is too long
+	}
 }
 
 // header reads a load report that comes in an answer's header.
