Simulation: drain and resume calls, a class dropped and added under open jobs; hear new clients in a drain

internal/sim opens a control address where a plan wants it; faults send-away and retune, scenarios sent-away-and-back (16 plans, with jobs longer than the drain and SIGTERM in it) and class-dropped-and-added (16). Found by it: from 1.5 s of a drain on, a connection that had just come was closed before its request was read, so that the front's question got no answer (closeIdle counted the age of a connection that has said nothing from its coming). Not in it yet: two processes of one node.

--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -201,7 +201,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.open {
-		if s.state != http.StateActive && time.Since(s.since) >= after {
+		wait := after
+		if s.state == http.StateNew { // whoever has just come is heard
+			wait = max(wait, c.limits.SilentFor)
+		}
+		if s.state != http.StateActive && time.Since(s.since) >= wait {
 			if own, ok := conn.(*takein.Conn); ok {
 				own.Give(func(c net.Conn) { c.Close() })
 			} else {
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -120,6 +122,19 @@
 			begin: func(w *World, _ *Fault) { w.move() }},
 		"reload": {on: onNode, means: "SIGHUP with an unchanged file",
 			begin: func(w *World, f *Fault) { w.reload(w.nodes[f.Target], w.nodes[f.Target].disco) }},
+		"send-away": {on: onNode, means: "the drain call, four seconds at least, and then the resume call",
+			begin: func(w *World, f *Fault) { w.sendAway(f.Target) },
+			end:   func(w *World, f *Fault) { w.takeBack(f.Target) }},
+		"retune": {on: onNode, means: "SIGHUP with settings that lack charge-card, a broken file, and then SIGHUP with the class again",
+			begin: func(w *World, f *Fault) {
+				n := w.nodes[f.Target]
+				to := *n.conf
+				all := to.Settings.Balance.Classes
+				to.Settings.Balance.Classes = all[:len(all)-1] // the last one
+				w.hup(n, node.Reload{Config: &to})
+				w.After(ms(f.For/2), func() { w.hup(n, node.Reload{Err: errors.New("cut off")}) })
+			},
+			end: func(w *World, f *Fault) { n := w.nodes[f.Target]; w.hup(n, node.Reload{Config: n.conf}) }},
 		"term": {on: onNode, means: "SIGTERM; the node starts again after a while",
 			begin: func(w *World, f *Fault) {
 				n := w.nodes[f.Target]
@@ -240,15 +255,114 @@
 	to := *n.conf
 	to.Discovery = disco
 	w.trace("%s SIGHUP, discovery at %s", n.name, disco)
+	w.hup(n, node.Reload{Config: &to})
+}
+
+// hup hands a node what it reads at SIGHUP.
+func (w *World) hup(n *simNode, r node.Reload) {
 	reloads := n.reloads
 	go func() {
 		select {
-		case reloads <- node.Reload{Config: &to}:
+		case reloads <- r:
 		case <-n.over:
 		}
 	}()
 }
 
+// sendAway makes the drain call. Four seconds later the node must hold no connection that carries no request, and still
+// say no.
+func (w *World) sendAway(i int) {
+	n := w.nodes[i]
+	if !n.up || !n.ready || n.away {
+		return
+	}
+	n.away = true
+	w.dialNode(n, n.ln, 0, &stays{})
+	w.After(5*time.Millisecond, func() {
+		w.call(n, n.ctl, "POST /-/drain", func(code string) { w.wants(n, "drain", code, "200") })
+	})
+	w.After(300*time.Millisecond, func() { n.ready = false }) // the front has noticed
+	w.After(4*time.Second, func() {
+		if !n.up || !n.away || n.termed > 0 {
+			return
+		}
+		idle := -w.checker.OwedSince(n.name, w.now())
+		for l := range n.links {
+			if l.machine.name == "client" && !l.nodeEnd && !l.farShut && !l.broken {
+				idle++
+			}
+		}
+		if idle > 0 {
+			w.fault("away", fmt.Sprintf("%s holds %d idle client connections 4 s after the drain call", n.name, idle), n.name, "")
+		}
+		w.call(n, n.ln, "GET /ready", func(code string) { w.wants(n, "/ready in a drain", code, "503") })
+	})
+}
+
+// takeBack makes the resume call; the node is to take clients within two seconds.
+func (w *World) takeBack(i int) {
+	n := w.nodes[i]
+	if !n.up || !n.away || n.termed > 0 {
+		return
+	}
+	w.call(n, n.ctl, "POST /-/resume", func(code string) {
+		w.wants(n, "resume", code, "200")
+		n.away = false
+		w.call(n, n.ln, "GET /ready", func(code string) {
+			w.wants(n, "/ready after resume", code, "200")
+			n.ready = true
+		})
+	})
+}
+
+// wants checks the answer to a call. A node that ends meanwhile owes none.
+func (w *World) wants(n *simNode, what, code, want string) {
+	if code != want && n.up && n.termed == 0 {
+		w.fault("away", fmt.Sprintf("%s answers %s with %q, want %s", n.name, what, code, want), n.name, "")
+	}
+}
+
+// call makes one call of a node's and tells how it is answered; an empty code is no answer.
+func (w *World) call(n *simNode, ln *listener, text string, then func(code string)) {
+	w.dialNode(n, ln, 0, &calls{text: text + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", then: then})
+}
+
+// stays is a client that has asked once and keeps its connection.
+type stays struct{}
+
+func (*stays) Up(c standin.Conn) { c.Write([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), nil) }
+func (*stays) Data([]byte)       {}
+func (*stays) Gone(bool)         {}
+
+// calls is who makes a call.
+type calls struct {
+	c    standin.Conn
+	text string
+	then func(string)
+	told bool
+}
+
+func (a *calls) Up(c standin.Conn) {
+	a.c = c
+	c.Write([]byte(a.text), nil)
+}
+
+func (a *calls) Data(p []byte) {
+	if !a.told {
+		a.told = true
+		_, code, _ := standin.Words(p)
+		a.c.Close()
+		a.then(code)
+	}
+}
+
+func (a *calls) Gone(bool) {
+	if !a.told {
+		a.told = true
+		a.then("")
+	}
+}
+
 // again starts a node again.
 func (w *World) again(i int) {
 	if n := w.nodes[i]; !n.up {
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -34,6 +34,11 @@
 	Faults   []Fault `json:"faults"`
 }
 
+// called reports whether control calls come.
+func (p *Plan) called() bool {
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == "send-away" })
+}
+
 // Net is the network: one-way times.
 type Net struct {
 	Near   float64 `json:"near"`
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -99,6 +99,35 @@
 			}
 		}),
 	},
+	{
+		Name: "sent-away-and-back", About: "clients are sent away by the drain call and taken back, with jobs longer than that, and SIGTERM in it",
+		Plans: sweep(16, func() *Plan { return calm(2, 4, 260, 30, "book-visit") }, func(p *Plan, i int) {
+			for k := range p.Jobs {
+				if k%20 == 0 {
+					p.Jobs[k].Work, p.Jobs[k].Hint = 2000, 2000
+				}
+			}
+			p.Faults = []Fault{{Kind: "send-away", At: 1500 + 13*float64(i), For: 4100 + 50*float64(i), Target: i % 2}}
+			if i%4 == 3 {
+				p.Faults = append(p.Faults, Fault{Kind: "term", At: 2000 + 200*float64(i), For: 500, Target: i % 2})
+			}
+		}),
+	},
+	{
+		Name: "class-dropped-and-added", About: "SIGHUP drops a class whose jobs are open, another file is broken, and a third one has the class again",
+		Plans: sweep(16, func() *Plan { return calm(1, 4, 180, 20, "charge-card") }, func(p *Plan, i int) {
+			p.Faults = []Fault{{Kind: "retune", At: 1990 + float64(i), For: 400, Target: 0}}
+			for k := range p.Jobs {
+				p.Jobs[k].Work = 60
+				if at := p.Jobs[k].At; at > 1980 && at < 2450+1200 { // none is asked for without its class
+					p.Jobs[k].Class = "book-visit"
+				} else if at > 1900 && at <= 1980 { // open as it is dropped
+					p.Jobs[k].Work, p.Jobs[k].Hint = 700, 700
+				}
+			}
+		}),
+		Want: allServed,
+	},
 	{
 		Name: "idle-close-crosses-write", About: "a peer closes an idle connection while a book-visit is written to it",
 		Plans: sweep(40, func() *Plan { return calm(1, 1, 40, 0, "book-visit") }, func(p *Plan, i int) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -99,6 +99,8 @@
 	zone    string
 	listen  string
 	ln      *listener
+	ctl     *listener // where control calls come; nil: nowhere
+	away    bool      // its clients were sent away: those with connections go on using them
 	stop    context.CancelFunc
 	ended   chan error
 	reloads chan node.Reload
@@ -324,6 +326,11 @@
 // Dial implements standin.Reach: a client's connection to a node.
 func (w *World) Dial(to string, rate int, h standin.Opener) {
 	n := w.nodes[slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == to })]
+	w.dialNode(n, n.ln, rate, h)
+}
+
+// dialNode opens a connection to one of a node's listeners.
+func (w *World) dialNode(n *simNode, ln *listener, rate int, h standin.Opener) {
 	l := &link{w: w, node: n, machine: &machineState{name: "client", zone: n.zone, links: map[*link]bool{}}, rate: rate}
 	w.links++
 	l.id = w.links
@@ -333,7 +340,7 @@
 	there := w.now() + w.latency(l)
 	l.inAt = there
 	w.at(there, func() {
-		ok := n.up && !n.dead && n.ln.offer(l.ep)
+		ok := n.up && !n.dead && ln.offer(l.ep)
 		if ok {
 			w.endpoints++
 			n.links[l] = true
@@ -644,7 +651,7 @@
 func (w *World) Node(j *standin.Job, try int, kept func(string) bool) string {
 	var in []*simNode
 	for _, n := range w.nodes {
-		if n.ready || n.up && n.termed > 0 && kept(n.name) {
+		if n.ready || n.up && (n.termed > 0 || n.away) && kept(n.name) {
 			in = append(in, n)
 		}
 	}
@@ -675,22 +682,27 @@
 	n.conf = &conf
 	n.up, n.links, n.began, n.over = true, map[*link]bool{}, w.now(), make(chan struct{})
 	n.ln, n.ended, n.reloads, n.turn = newListener(n), make(chan error, 1), make(chan node.Reload), make(chan struct{})
+	d := node.Doors{Clients: n.ln, Reloads: n.reloads}
+	if w.plan.called() {
+		n.ctl = newListener(n)
+		d.Control = n.ctl
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	log := slog.New(slog.DiscardHandler)
 	if w.log.nodes != nil {
 		log = slog.New(slog.NewTextHandler(prefixed{w, n.name}, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: noTime}))
 	}
-	ln, ended := n.ln, n.ended
+	ended := n.ended
 	go func() {
-		err := node.Serve(ctx, machine.Machine{Dial: n.dial, Order: simOrder{n}}, &conf, node.Doors{Clients: ln, Reloads: n.reloads}, log)
+		err := node.Serve(ctx, machine.Machine{Dial: n.dial, Order: simOrder{n}}, &conf, d, log)
 		ended <- err
 		w.signal()
 	}()
 	w.trace("%s starts", n.name)
 	var ask func()
 	ask = func() {
-		if n.up && !n.ready && n.termed == 0 {
+		if n.up && !n.ready && n.termed == 0 && !n.away {
 			w.Dial(n.name, 0, &asksReady{w: w, n: n, again: ask})
 		}
 	}
@@ -815,6 +827,9 @@
 	close(n.over)
 	n.stop()
 	n.ln.Close()
+	if n.ctl != nil {
+		n.ctl.Close()
+	}
 	for _, l := range sortedLinks(n.links) { // the kernel resets what the process had open
 		if l.use = nil; !l.farShut && !l.broken {
 			l.farShut = true
