--- /dev/null
+++ b/cmd/swiftdeal/listen_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/node"
+)
+
+// doors opens the doors of a node with the given addresses.
+func doors(t *testing.T, clients, control string) (d node.Doors, err error) {
+	t.Setenv("GW_CONFIG", "x")
+	words := strings.Replace(text, `"listen":"127.0.0.1:8080"`, `"listen":"`+clients+`","control":"`+control+`"`, 1)
+	c, err := config.Load(os.Getenv, func(string) ([]byte, error) { return []byte(words), nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err = listen(context.Background(), c, slog.New(slog.DiscardHandler))
+	if err == nil {
+		t.Cleanup(func() {
+			d.Clients.Close()
+			if d.Control != nil {
+				d.Control.Close()
+			}
+			if d.Heirs != nil {
+				d.Heirs.Close()
+			}
+		})
+	}
+	return d, err
+}
+
+// free returns an address that nobody listens at.
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Whatever $TMPDIR holds, a node opens its doors; a second process of it listens beside the first one. Where there is no
+// control address, nothing of that is there.
+func TestListen(t *testing.T) {
+	dir := t.TempDir()
+	for _, tmp := range []string{"", filepath.Join(dir, "none"), filepath.Join(dir, strings.Repeat("x", 120)), dir} {
+		t.Setenv("TMPDIR", tmp)
+		at := free(t)
+		for range 2 {
+			d, err := doors(t, at, free(t))
+			if err != nil || d.Clients == nil || d.Control == nil || d.Prior != nil || (d.Heirs != nil) != (tmp == dir) {
+				t.Errorf("TMPDIR=%q: %+v %v", tmp, d, err)
+			}
+		}
+	}
+	if d, err := doors(t, free(t), ""); err != nil || d.Control != nil || d.Heirs != nil {
+		t.Errorf("without a control address: %+v %v", d, err)
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if _, err := doors(t, free(t), taken.Addr().String()); err == nil || !strings.HasPrefix(err.Error(), "control: ") {
+		t.Errorf("a control address in use: %v", err)
+	}
+}
