Simulation: a node's figures against what its clients have seen; a quiet end of the old process

Fault figures reads /-/metrics at the control address once nothing is open: served, refused and failed must be just what clients saw, in flight 0, attempts at least the served, workers known all. Planted fault served-not-counted is caught.

--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -184,8 +184,11 @@
 		}
 	}
 	s.mu.Lock()
-	back := s.turn.Lost(id)
+	back, over := s.turn.Lost(id), s.over
 	s.mu.Unlock()
+	if over { // this process has ended first, as it should
+		return
+	}
 	s.n.log.Info("the process that takes over is gone", "takes_clients_again", back, "why", err)
 	if back {
 		s.mu.Lock()
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -125,6 +127,8 @@
 		"send-away": {on: onNode, means: "the drain call, four seconds at least, and then the resume call",
 			begin: func(w *World, f *Fault) { w.sendAway(f.Target) },
 			end:   func(w *World, f *Fault) { w.takeBack(f.Target) }},
+		"figures": {on: onNode, means: "the node's figures are read, which must be true once nothing is open",
+			begin: func(w *World, f *Fault) { w.figures(w.nodes[f.Target]) }},
 		"retune": {on: onNode, means: "SIGHUP with settings that lack charge-card, a broken file, and then SIGHUP with the class again",
 			begin: func(w *World, f *Fault) {
 				n := w.nodes[f.Target]
@@ -327,6 +331,42 @@
 	w.dialNode(n, ln, 0, &calls{text: text + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", then: then})
 }
 
+// figures reads a node's figures and holds them against what its clients have seen.
+func (w *World) figures(n *simNode) {
+	if !n.up || n.termed > 0 || w.checker.OwedSince(n.name, w.now()) > 0 {
+		return
+	}
+	w.dialNode(n, n.ctl, 0, &reads{then: func(text string) {
+		got := map[string]int{}
+		for line := range strings.Lines(text) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+			name, _, _ = strings.Cut(name, "{")
+			v, _ := strconv.Atoi(value)
+			got[strings.TrimPrefix(name, "gw_")] += v
+		}
+		for _, k := range []string{"served", "refused", "failed"} {
+			if got[k] != n.answers[k] {
+				w.fault("figures", fmt.Sprintf("%s: %d %s, its clients have seen %d", n.name, got[k], k, n.answers[k]), n.name, "")
+			}
+		}
+		if got["in_flight"] != 0 || got["attempts"] < got["served"] || got["workers_known"] != len(w.plan.Peers) {
+			w.fault("figures", fmt.Sprintf("%s: %v", n.name, got), n.name, "")
+		}
+	}})
+}
+
+// reads is who reads a node's figures.
+type reads struct {
+	text []byte
+	then func(string)
+}
+
+func (a *reads) Up(c standin.Conn) {
+	c.Write([]byte("GET /-/metrics HTTP/1.1\r\nHost: x\r\n\r\n"), nil)
+}
+func (a *reads) Data(p []byte) { a.text = append(a.text, p...) }
+func (a *reads) Gone(bool)     { a.then(string(a.text)) }
+
 // stays is a client that has asked once and keeps its connection.
 type stays struct{}
 
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -32,6 +32,7 @@
 	watching  = "internal/upstream/upstream.go"
 	admitting = "internal/admit/admit.go"
 	group     = "internal/config/group.go"
+	booking   = "internal/book/book.go"
 	calling   = "internal/node/control.go"
 	settling  = "internal/settings/settings.go"
 )
@@ -42,6 +43,7 @@
 	{"idle-kept-in-a-drain", "away, idle connections", []Change{
 		{calling, "			n.conns.closeIdle(0)\n", ""}, {calling, "			n.conns.closeIdle(n.limits.AwayIdle)\n", ""}}},
 	{"class-not-added-again", "a class that is dropped and added", []Change{{settling, "		byName[c.Name] = at\n", "		if at != len(s.Balance.Classes)-1 {\n			byName[c.Name] = at\n		}\n"}}},
+	{"served-not-counted", "figures", []Change{{booking, "		t.Served++\n", ""}}},
 	{"charge-kept", "charges", []Change{{balancer, "	a.w.release(a, now)\n", ""}}},
 	{"reset-taken-for-unsent", "rule 2, an idle close crossing a write", []Change{
 		{exchanges, "	if written {\n		x.end(ending{result: balance.Reset})", "	if written {\n		x.end(ending{result: balance.ConnectFailed})"}}},
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -36,7 +36,7 @@
 
 // called reports whether control calls come.
 func (p *Plan) called() bool {
-	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == "send-away" })
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == "send-away" || f.Kind == "figures" })
 }
 
 // Net is the network: one-way times.
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -110,6 +110,8 @@
 			p.Faults = []Fault{{Kind: "send-away", At: 1500 + 13*float64(i), For: 4100 + 50*float64(i), Target: i % 2}}
 			if i%4 == 3 {
 				p.Faults = append(p.Faults, Fault{Kind: "term", At: 2000 + 200*float64(i), For: 500, Target: i % 2})
+			} else {
+				p.Faults = append(p.Faults, Fault{Kind: "figures", At: 15000, Target: i % 2}, Fault{Kind: "figures", At: 15000, Target: 1 - i%2})
 			}
 		}),
 	},
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -99,8 +99,9 @@
 	zone    string
 	listen  string
 	ln      *listener
-	ctl     *listener // where control calls come; nil: nowhere
-	away    bool      // its clients were sent away: those with connections go on using them
+	ctl     *listener      // where control calls come; nil: nowhere
+	answers map[string]int // clients' requests by how they ended, and those taken
+	away    bool           // its clients were sent away: those with connections go on using them
 	stop    context.CancelFunc
 	ended   chan error
 	reloads chan node.Reload
@@ -616,6 +617,7 @@
 // Began implements standin.Watcher.
 func (w *World) Began(node, id string, until time.Time, class string) bool {
 	owed := !w.checker.Owed(node, id)
+	w.count(node, "taken")
 	w.tell(rules.Event{Kind: rules.Taken, Node: node, Request: id, Class: w.classes[class], Until: until.Sub(w.start)})
 	return owed
 }
@@ -623,6 +625,7 @@
 // Ended implements standin.Watcher.
 func (w *World) Ended(node, id string, status int, body string) {
 	e := rules.Event{Kind: rules.Answered, Node: node, Request: id, Verdict: rules.Failed}
+	w.count(node, answered(status))
 	switch status {
 	case standin.Cut, standin.CutFirst:
 		e.Kind, e.First = rules.Dropped, status == standin.CutFirst
@@ -641,6 +644,28 @@
 	w.tell(e)
 }
 
+// answered words a status as the node's figures do; empty where there was no answer.
+func answered(status int) string {
+	switch {
+	case status == 200:
+		return "served"
+	case status == 429 || status == 503:
+		return "refused"
+	case status > 0:
+		return "failed"
+	}
+	return ""
+}
+
+// count counts a request of a node's process that runs.
+func (w *World) count(node, what string) {
+	for _, n := range w.nodes {
+		if n.name == node && n.answers != nil {
+			n.answers[what]++
+		}
+	}
+}
+
 // Left implements standin.Watcher.
 func (w *World) Left(node, id string) {
 	w.trace("the client of %s leaves", id)
@@ -680,6 +705,7 @@
 	}
 	n.life++
 	n.conf = &conf
+	n.answers = map[string]int{}
 	n.up, n.links, n.began, n.over = true, map[*link]bool{}, w.now(), make(chan struct{})
 	n.ln, n.ended, n.reloads, n.turn = newListener(n), make(chan error, 1), make(chan node.Reload), make(chan struct{})
 	d := node.Doors{Clients: n.ln, Reloads: n.reloads}
