Simulation: two processes of one node; open requests no longer wait behind idle clients

Seen in the trace: the link's reader was blocked in bring(), which waits for room among the clients' connections (half of them while two processes share them), with the open requests behind it: up to 100 ms a client, without their backstop. Ruled out: a refusal by the module (nothing was posted to it). At fault: takeOver in internal/node/replace.go. Idle clients now wait in a queue of their own. Also: Release is posted as its request's event; it was the drain's, so that the order hung on goroutines.

--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -71,7 +71,15 @@
 		err = errors.New("it answered with a message of kind " + string(m.Kind))
 	}
 	s.n.log.Info("took over", "error", err)
+	// Guards against open requests that wait behind idle clients, whose turn comes only once there is room for them.
+	idle := make(chan net.Conn, limits.ClientConns+limits.SpareConns)
+	s.start(noLink{}, func() {
+		for c := range idle {
+			s.doors.bring(c)
+		}
+	})
 	s.start(l, func() {
+		defer close(idle)
 		for count := 0; ; count++ {
 			m, passed, err := l.Receive(0)
 			if err != nil {
@@ -84,7 +92,7 @@
 			}
 			for _, c := range passed {
 				if c, ok := c.(net.Conn); ok && m.Kind == handover.Client {
-					s.doors.bring(c)
+					idle <- c
 				}
 			}
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -188,7 +188,7 @@
 // Retune puts other settings into effect, or says why they cannot be right. When it returns, what is accepted goes by
 // them.
 func (r *Stage) Retune(s balance.Settings) (err error) {
-	r.ask(func() { err = r.b.Retune(r.now(), s) })
+	r.ask(machine.Source{Kind: machine.Drain}, func() { err = r.b.Retune(r.now(), s) })
 	return err
 }
 
@@ -196,7 +196,7 @@
 // off its connection, and reports whether that could be; none is taken where none is out. It returns false for a request
 // that stays, because it is over or two of its tries are out.
 func (r *Stage) Release(c *request.Context, detach func() bool) (m balance.Moved, try int, peer string, ok bool) {
-	r.ask(func() {
+	r.ask(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
 		e := r.open[c.ID]
 		if e == nil || e.c != c || e.over {
 			return
@@ -237,9 +237,9 @@
 }
 
 // ask has the owner of the Balancer do something, and waits for that, unless the stage has ended.
-func (r *Stage) ask(do func()) {
+func (r *Stage) ask(from machine.Source, do func()) {
 	done := make(chan struct{})
-	r.box.post(machine.Source{Kind: machine.Drain}, func() {
+	r.box.post(from, func() {
 		defer close(done)
 		do()
 	})
@@ -257,7 +257,7 @@
 // Yield posts whether another process takes clients in this one's place, and waits for what the Balancer has learned
 // until then.
 func (r *Stage) Yield(yes bool) (k balance.Knowledge) {
-	r.ask(func() {
+	r.ask(machine.Source{Kind: machine.Drain}, func() {
 		r.b.Yield(r.now(), yes)
 		k = r.b.Know()
 		k.Slots = maps.Clone(k.Slots) // the Balancer goes on with its own
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -35,6 +35,8 @@
 	booking   = "internal/book/book.go"
 	calling   = "internal/node/control.go"
 	settling  = "internal/settings/settings.go"
+	moving    = "balance/moved.go"
+	parting   = "internal/send/detach.go"
 )
 
 // All lists the mutants.
@@ -44,6 +46,11 @@
 		{calling, "			n.conns.closeIdle(0)\n", ""}, {calling, "			n.conns.closeIdle(n.limits.AwayIdle)\n", ""}}},
 	{"class-not-added-again", "a class that is dropped and added", []Change{{settling, "		byName[c.Name] = at\n", "		if at != len(s.Balance.Classes)-1 {\n			byName[c.Name] = at\n		}\n"}}},
 	{"served-not-counted", "figures", []Change{{booking, "		t.Served++\n", ""}}},
+	{"charge-kept-in-a-move", "charges, two processes", []Change{
+		{moving, "slices.DeleteFunc(a.w.out, func(x *attempt) bool { return x == a })", "slices.DeleteFunc(a.w.out, func(x *attempt) bool { return false })"}}},
+	{"tries-lost-in-a-move", "rule 2, two processes", []Change{{moving, "range m.Tries {", "range m.Tries[:0] {"}}},
+	{"answer-lost-in-a-move", "answers that have begun, two processes", []Change{{parting, "bytes.NewReader(d.Seen)", "bytes.NewReader(nil)"}}},
+	{"clients-kept-in-a-move", "idle connections, two processes", []Change{{conns, "		pass(conn, s.state, give)\n", "		pass(conn, http.StateActive, give)\n"}}},
 	{"charge-kept", "charges", []Change{{balancer, "	a.w.release(a, now)\n", ""}}},
 	{"reset-taken-for-unsent", "rule 2, an idle close crossing a write", []Change{
 		{exchanges, "	if written {\n		x.end(ending{result: balance.Reset})", "	if written {\n		x.end(ending{result: balance.ConnectFailed})"}}},
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -115,6 +115,46 @@
 			}
 		}),
 	},
+	{
+		Name: "replaced-under-load", About: "a second process takes a node's place, twice, while jobs of all classes wait, are written and run",
+		Plans: sweep(16, func() *Plan { return calm(2, 4, 300, 16, "") }, func(p *Plan, i int) {
+			for k := range p.Jobs {
+				p.Jobs[k].Class = classPlans[k%len(classPlans)].name
+				if k%15 == 4 {
+					p.Jobs[k].Work, p.Jobs[k].Hint = 600, 600
+				}
+			}
+			p.Faults = []Fault{{Kind: "replace", At: 1800 + 13*float64(i), For: 100 * float64(i), Target: i % 2}}
+			if i%2 == 0 {
+				p.Faults = append(p.Faults, Fault{Kind: "replace", At: 3400 + 20*float64(i), For: 300, Target: i % 2})
+			}
+		}),
+		Want: func(o *Outcome) string {
+			if o.Passed == 0 || o.Moved == 0 {
+				return fmt.Sprintf("%d connections and %d tries went over", o.Passed, o.Moved)
+			}
+			return allServed(o)
+		},
+	},
+	{
+		Name: "replaced-with-many-clients", About: "more idle clients than half of a node's places go over, and open jobs with them",
+		Plans: sweep(8, func() *Plan { return calm(1, 6, 70, 1, "slot-check") }, func(p *Plan, i int) {
+			p.Sockets = 128
+			for k := range p.Jobs { // first many connections at once, then few jobs that are long
+				p.Jobs[k].Work, p.Jobs[k].Hint, p.Jobs[k].Slots = 60, 60, 0.25
+				if k >= 60 {
+					p.Jobs[k].At, p.Jobs[k].Work, p.Jobs[k].Hint = 1300+5*float64(k-60), 400, 400
+				}
+			}
+			p.Faults = []Fault{{Kind: "replace", At: 1380 + 20*float64(i), For: 1000}}
+		}),
+		Want: func(o *Outcome) string {
+			if o.Passed < 30 || o.Moved == 0 {
+				return fmt.Sprintf("%d connections and %d tries went over", o.Passed, o.Moved)
+			}
+			return ""
+		},
+	},
 	{
 		Name: "class-dropped-and-added", About: "SIGHUP drops a class whose jobs are open, another file is broken, and a third one has the class again",
 		Plans: sweep(16, func() *Plan { return calm(1, 4, 180, 20, "charge-card") }, func(p *Plan, i int) {
