--- a/balance/know_test.go
+++ b/balance/know_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// The time in which repeats of a key are dropped is the one under which its job was taken, though a reload shortens or
+// lengthens it meanwhile: the workers heard of the key before.
+func TestWindowSpansRetune(t *testing.T) {
+	for _, c := range []struct {
+		now, then, ends time.Duration // the window, that of the new settings, and when the first attempt breaks
+		sent            int           // attempts in all
+	}{
+		{2 * time.Second, 100 * time.Millisecond, 1500 * time.Millisecond, 2},
+		{300 * time.Millisecond, time.Hour, 1500 * time.Millisecond, 1},
+	} {
+		s := settings()
+		s.Classes = []Class{{Name: "k", Aim: time.Hour, Deadline: time.Hour, Effect: Keyed, Scope: SameZone, Window: c.now}}
+		b, h := ready(t, s, map[string][2]float64{"w1": {9, 9}, "w2": {9, 9}})
+		q := req("r", 1, 0)
+		q.Patience = time.Hour
+		b.Accept(time.Second, q)
+		to := s
+		changed := s.Classes[0]
+		changed.Window = c.then
+		to.Classes = append(to.Classes[:1:1], changed)
+		if err := b.Retune(1100*time.Millisecond, to); err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range []string{"w1", "w2"} { // whichever it went to
+			b.Done(c.ends, Outcome{Request: "r", Worker: w, Result: Error})
+		}
+		if got := len(h.take("send r")); got != c.sent {
+			t.Errorf("a window of %v, then %v: %d attempts", c.now, c.then, got)
+		}
+	}
+}
+
 // What one balancer has learned holds at the next: sends that a cold worker's budget must count, room that reports do not
 // show yet, and workers set aside. What cannot be right is left out.
 func TestLearn(t *testing.T) {
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -35,7 +36,9 @@
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"What the log holds: ${enum}. At debug, every request and try."`
 }
 
-type check struct{}
+type check struct {
+	Running string `placeholder:"FILE" type:"existingfile" help:"The file that a node runs with: says what a SIGHUP with the new one would change."`
+}
 
 type costs struct {
 	Check  string `placeholder:"FILE" help:"Fail if a count is more than 5% above the baseline in this file."`
@@ -86,7 +89,10 @@
 	}
 }
 
-func (check) Run() error {
+func (k check) Run() error {
+	if k.Running != "" {
+		return reloads(os.Stdout, os.Getenv, os.ReadFile, k.Running)
+	}
 	c, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
 		return err
@@ -96,6 +102,30 @@
 	return nil
 }
 
+// reloads says what a SIGHUP would change in a node that runs with a file, or why it would change nothing.
+func reloads(out io.Writer, get func(string) string, read func(string) ([]byte, error), running string) error {
+	old, err := config.Load(func(k string) string {
+		if k == "GW_CONFIG" {
+			return running
+		}
+		return get(k)
+	}, read)
+	if err != nil {
+		return fmt.Errorf("the running file: %w", err)
+	}
+	c, err := config.Reload(get, read, old)
+	if err != nil {
+		return fmt.Errorf("a SIGHUP would change nothing: %w", err)
+	}
+	for _, change := range old.Changes(c) {
+		fmt.Fprintln(out, "at SIGHUP:", change)
+	}
+	for _, key := range old.NeedsRestart(c) {
+		fmt.Fprintln(out, "with a restart:", key)
+	}
+	return nil
+}
+
 func (c costs) Run() error {
 	program, err := os.Executable()
 	if err != nil {
--- a/cmd/swiftdeal/main_test.go
+++ b/cmd/swiftdeal/main_test.go
@@ -41,3 +41,35 @@
 		t.Errorf("faulty: reloaded %+v", r)
 	}
 }
+
+// What a SIGHUP would change is said beforehand, key by key, and so is that it would change nothing.
+func TestCheckRunning(t *testing.T) {
+	old := strings.Replace(text, `"settings":{`, `"settings":{"limits":{"maxAttempts":4},"prices":{"probe":0.1},`, 1)
+	say := func(from, to string) (string, error) {
+		var b strings.Builder
+		young := strings.Replace(old, from, to, 1)
+		if young == old {
+			t.Fatalf("%s is not there", from)
+		}
+		err := reloads(&b, func(k string) string { return map[string]string{"GW_CONFIG": "new"}[k] }, func(name string) ([]byte, error) {
+			return []byte(map[string]string{"new": young, "old": old}[name]), nil
+		}, "old")
+		return b.String(), err
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`"name":"job"`, `"name":"other"`, "at SIGHUP: class other is added\nat SIGHUP: class job is dropped: jobs that are open end under it, new ones get 404\n"},
+		{`"aimMs":1`, `"aimMs":2`, "at SIGHUP: class job changes for jobs that come from then on\n"},
+		{`"maxAttempts":4`, `"maxAttempts":2`, "at SIGHUP: maxAttempts is 2, was 4, for jobs that come from then on\n"},
+		{`"probe":0.1`, `"probe":0.2`, "at SIGHUP: what is allowed, prices or obligations change\n"},
+		{`127.0.0.1:1"`, `127.0.0.1:9"`, "at SIGHUP: discovery is 127.0.0.1:9, was 127.0.0.1:1\n"},
+		{`8080`, `8081`, "with a restart: listen\n"},
+		{`"settings":{`, `"settings":{"me":1,"balancers":2,`, "with a restart: settings\n"},
+	} {
+		if got, err := say(c.from, c.to); err != nil || got != c.want {
+			t.Errorf("%s for %s: %q, %v", c.to, c.from, got, err)
+		}
+	}
+	if got, err := say(`"maxAttempts":4`, `"maxAttempts":0`); err == nil || got != "" || !strings.Contains(err.Error(), "change nothing") {
+		t.Errorf("faulty: %q, %v", got, err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"swiftdeal/balance"
 	"swiftdeal/internal/settings"
 )
 
@@ -127,6 +128,46 @@
 	return keys
 }
 
+// Changes words what a reload of a new configuration changes at once in a node that runs with this one.
+func (c *Config) Changes(to *Config) (list []string) {
+	if c.Discovery != to.Discovery {
+		list = append(list, fmt.Sprintf("discovery is %s, was %s", to.Discovery, c.Discovery))
+	}
+	was, is := c.Settings.Balance, to.Settings.Balance
+	named := func(in []balance.Class, name string) (balance.Class, bool) {
+		i := slices.IndexFunc(in, func(k balance.Class) bool { return k.Name == name })
+		if i < 0 {
+			return balance.Class{}, false
+		}
+		return in[i], true
+	}
+	for _, k := range is.Classes {
+		if old, ok := named(was.Classes, k.Name); !ok {
+			list = append(list, fmt.Sprintf("class %s is added", k.Name))
+		} else if old != k {
+			list = append(list, fmt.Sprintf("class %s changes for jobs that come from then on", k.Name))
+		}
+	}
+	for _, k := range was.Classes {
+		if _, ok := named(is.Classes, k.Name); !ok {
+			list = append(list, fmt.Sprintf("class %s is dropped: jobs that are open end under it, new ones get 404", k.Name))
+		}
+	}
+	if was.MaxAttempts != is.MaxAttempts {
+		list = append(list, fmt.Sprintf("maxAttempts is %d, was %d, for jobs that come from then on", is.MaxAttempts, was.MaxAttempts))
+	}
+	rest := is // but for what is named already, and what waits for a restart
+	rest.Classes, rest.MaxAttempts = was.Classes, was.MaxAttempts
+	rest.Balancers, rest.Me, rest.Zone, rest.DialTimeout, rest.Step = was.Balancers, was.Me, was.Zone, was.DialTimeout, was.Step
+	if !reflect.DeepEqual(was, rest) {
+		list = append(list, "what is allowed, prices or obligations change")
+	}
+	if c.Limits.OpenRequests != to.Limits.OpenRequests {
+		list = append(list, fmt.Sprintf("open requests: %d at most, were %d", to.Limits.OpenRequests, c.Limits.OpenRequests))
+	}
+	return list
+}
+
 // used notes the paths of the keys of a JSON object that are read into a struct, in lower case; those of lists are left
 // out, and so is the group last known, which a running node's own is newer than.
 func used(text []byte, form reflect.Type, path string, keys map[string]bool) {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -69,6 +69,7 @@
 	MoveAgain  time.Duration // a request that could not go is tried again after this
 	GiveUp     time.Duration // the replaced process gives up what is open so long before it must have ended
 	BindWait   time.Duration // for a listener's address that another process still holds
+	EnterWait  time.Duration // for an upstream group, before the place of a process is taken without one
 
 	ViewEvery time.Duration // between two looks of the figures at the decision module
 	BookEvery time.Duration // between two lines of the books in the log
@@ -101,7 +102,7 @@
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
 		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second,
 		SeenBytes: 4 << 10, DetachWait: 20 * time.Millisecond, MoveAgain: 20 * time.Millisecond,
-		HandWait: time.Second, GiveUp: 200 * time.Millisecond, BindWait: 15 * time.Second,
+		HandWait: time.Second, GiveUp: 200 * time.Millisecond, BindWait: 15 * time.Second, EnterWait: 3 * time.Second,
 		ViewEvery: 100 * time.Millisecond, BookEvery: time.Minute,
 	}
 	if f.Limits.Cores == 0 {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -32,12 +32,12 @@
 	if !n.serving.Load() || n.next.yielded() {
 		return false
 	}
+	leaving, _ := n.standing.leaving()
 	select {
 	case <-n.route.Held():
-		leaving, _ := n.standing.leaving()
 		return !leaving
 	default:
-		return false
+		return !leaving && n.next != nil && n.next.entered.Load()
 	}
 }
 
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -135,3 +135,36 @@
 	}
 	w.figures(t, `gw_refused{class="job"} 1`, `gw_attempts{class="job"} 0`)
 }
+
+// In a drain by call, a second request that was sent behind the first one, before that was answered, is not heard: its
+// client sees the connection end, and no peer has seen it. SIGHUP takes effect meanwhile and does not end the drain.
+func TestSentAwayMeanwhile(t *testing.T) {
+	w := start(t, func(l *config.Limits) { l.AwayAfter, l.AwayAll = time.Hour, time.Hour })
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	c := w.client(t)
+	c.ask("first")
+	<-w.jobs
+	w.call(t, "POST", "/-/drain")
+	c.ask("behind")
+	young := w.config.Settings.Balance.Classes[0]
+	young.Name = "young"
+	w.reloads <- Reload{Config: w.retuned(append(w.config.Settings.Balance.Classes[:2:2], young)...)}
+	w.figures(t, "gw_reloads_ok 1", `gw_served{class="young"} 0`, "gw_in_flight 1")
+	if code, _ := w.call(t, "GET", "/-/ready"); code != 503 {
+		t.Errorf("ready answers %d after SIGHUP in a drain", code)
+	}
+	w.done <- "result"
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("%v %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+	w.figures(t, "gw_in_flight 0", `gw_attempts{class="job"} 1`)
+	w.call(t, "POST", "/-/resume")
+	if got := w.status("POST", "/young", "X-Request-Id", "y", "X-Deadline", "0.001"); got == 404 || got == 0 {
+		t.Errorf("the class that came in the drain: %d", got)
+	}
+}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
@@ -21,6 +23,8 @@
 	group  *roster
 	listen string // as the configuration words it
 
+	entered atomic.Bool // it has taken the place of another process
+
 	mu    sync.Mutex
 	turn  handover.Turn
 	link  int // of those that asked, counted
@@ -291,14 +295,20 @@
 }
 
 // enter makes the process the node's own: it takes the place of the one before it, if there is one, and is then the one
-// that others find. It first waits for an upstream group, as no client may come before.
+// that others find. It first waits for an upstream group, as no client should come before. Guards against a list that is
+// empty as the process is replaced: the one before it, which is about to end, has no peers either.
 func (s *succession) enter(ctx context.Context, prior *handover.Prior) {
 	if prior != nil {
+		timer := time.NewTimer(s.n.limits.EnterWait)
 		select {
 		case <-s.n.route.Held():
+		case <-timer.C:
+			s.n.log.Warn("takes over without an upstream group")
 		case <-ctx.Done():
 		}
+		timer.Stop()
 		s.takeOver(prior.Link)
+		s.entered.Store(true)
 	}
 	if s.heirs == nil {
 		return
--- a/internal/node/replace_test.go
+++ b/internal/node/replace_test.go
@@ -253,3 +253,48 @@
 	w.done <- "result"
 	c.served(t)
 }
+
+// An old process that hangs once it was told to stop taking clients holds the new one up no longer than a message may
+// take, and that serves without what it would have learned.
+func TestOldHangs(t *testing.T) {
+	w := start(t, func(l *config.Limits) { l.HandWait = 10 * time.Millisecond })
+	dir := t.TempDir()
+	hangs, err := handover.Listen(dir, w.config.Listen, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hangs.Close() })
+	if err := hangs.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	over := make(chan struct{})
+	go func() {
+		l, err := hangs.Accept()
+		if err != nil {
+			return
+		}
+		l.Receive(time.Second)
+		l.Send(handover.Message{Kind: handover.Welcome, Version: handover.Version, Group: &w.config.Known}, ln)
+		l.Receive(time.Second) // take
+		<-over
+		l.Close()
+	}()
+	stop, ended := w.successor(t, dir)
+	w.addr = ln.Addr().String()
+	c := w.client(t)
+	c.ask("a")
+	<-w.jobs
+	w.done <- "result"
+	c.served(t)
+	close(over)
+	stop()
+	c.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/retune_test.go
+++ b/internal/node/retune_test.go
@@ -59,3 +59,20 @@
 		t.Errorf("with other effects: %d", got)
 	}
 }
+
+// Files that come one right after the other take effect in their order, a broken one among them.
+func TestReloadsInTurn(t *testing.T) {
+	w := start(t, nil)
+	old := w.config.Settings.Balance.Classes
+	young := old[0]
+	young.Name = "young"
+	for range 20 {
+		w.reloads <- Reload{Config: w.retuned(append(old[:2:2], young)...)}
+		w.reloads <- Reload{Err: errors.New("cut off")}
+		w.reloads <- Reload{Config: w.retuned(old[1], old[0])}
+	}
+	w.figures(t, "gw_reloads_ok 40", "gw_reloads_failed 20")
+	if got := w.status("POST", "/young", "X-Request-Id", "a"); got != 404 {
+		t.Errorf("the last file has no class young, yet: %d", got)
+	}
+}
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -136,6 +136,15 @@
 			return allServed(o)
 		},
 	},
+	{
+		Name: "replaced-with-an-empty-list", About: "discovery names no peer, to whoever asks, while a process is replaced",
+		Plans: sweep(4, func() *Plan { return calm(2, 4, 80, 50, "book-visit") }, func(p *Plan, i int) {
+			p.Late = 50
+			p.Faults = []Fault{
+				{Kind: "list-empty", At: 1500, For: 9000}, {Kind: "replace", At: 1700 + 300*float64(i), For: 500, Target: i % 2},
+			}
+		}),
+	},
 	{
 		Name: "replaced-with-many-clients", About: "more idle clients than half of a node's places go over, and open jobs with them",
 		Plans: sweep(8, func() *Plan { return calm(1, 6, 70, 1, "slot-check") }, func(p *Plan, i int) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -666,7 +666,7 @@
 	w.tell(e)
 }
 
-// answered words a status as the node's figures do; empty where there was no answer.
+// answered words a status as the node's figures do; where no answer was seen, there may have been one.
 func answered(status int) string {
 	switch {
 	case status == 200:
@@ -676,7 +676,7 @@
 	case status > 0:
 		return "failed"
 	}
-	return ""
+	return "unseen"
 }
 
 // count counts a request of a node's process that runs.
@@ -691,6 +691,7 @@
 // Left implements standin.Watcher.
 func (w *World) Left(node, id string) {
 	w.trace("the client of %s leaves", id)
+	w.count(node, "unseen")
 	w.tell(rules.Event{Kind: rules.Left, Node: node, Request: id})
 }
 
