Figures held against clients over the simulation's seeds; calls answered while the owner is busy

The simulation reads the figures of all nodes at the end of every second seed: served, refused and failed must be what the clients of that process have seen, attempts no more than were sent, nothing in flight.

--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 )
 
 // call makes a call at the control address.
@@ -168,3 +170,36 @@
 		t.Errorf("the class that came in the drain: %d", got)
 	}
 }
+
+// busy is an order in which the owner of the Balancer handles nothing while hold is locked.
+type busy struct{ hold *sync.Mutex }
+
+func (b busy) Settle()                                    { b.hold.Lock(); b.hold.Unlock() }
+func (b busy) Owner(func(string) int)                     {}
+func (b busy) Before(machine.Source, machine.Source) bool { return false }
+
+// Calls are answered while the owner of the Balancer is busy, with requests waiting for it.
+func TestCallsWhileBusy(t *testing.T) {
+	m, hold := machine.Real(), new(sync.Mutex)
+	m.Order = busy{hold}
+	w := startOn(t, m, nil)
+	w.figures(t, "gw_workers_known 1") // the owner tells it now and then
+	hold.Lock()
+	answer := make(chan int, 1)
+	go func() { answer <- w.status("POST", "/job", "X-Request-Id", "a") }()
+	w.figures(t, "gw_in_flight 1", "gw_workers_known 1", `gw_attempts{class="job"} 0`)
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{{"GET", "/-/ready", 200}, {"POST", "/-/drain", 200}, {"GET", "/-/ready", 503}, {"POST", "/-/resume", 200}, {"GET", "/-/ready", 200}} {
+		if code, _ := w.call(t, c.method, c.path); code != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, code, c.want)
+		}
+	}
+	hold.Unlock()
+	<-w.jobs
+	w.done <- "result"
+	if got := <-answer; got != 200 {
+		t.Errorf("the job that waited: %d", got)
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,6 +35,10 @@
 }
 
 func start(t *testing.T, change func(*config.Limits), dir ...string) *world {
+	return startOn(t, machine.Real(), change, dir...)
+}
+
+func startOn(t *testing.T, m machine.Machine, change func(*config.Limits), dir ...string) *world {
 	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), long: make(chan string, 9), reloads: make(chan Reload)}
 	peer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/status/load" {
@@ -99,7 +103,7 @@
 		}
 	}
 	go func() {
-		ended <- Serve(ctx, machine.Real(), c, d, slog.New(slog.DiscardHandler))
+		ended <- Serve(ctx, m, c, d, slog.New(slog.DiscardHandler))
 	}()
 	for w.status("GET", "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -359,7 +359,9 @@
 				w.fault("figures", fmt.Sprintf("%s: %d %s, its clients have seen %d", n.name, got[k], k, n.answers[k]), n.name, "")
 			}
 		}
-		if got["in_flight"] != 0 || got["attempts"] < got["served"] || got["workers_known"] > len(w.plan.Peers) {
+		w.out.Figures++
+		// Attempts are written whole; some break before.
+		if got["in_flight"] != 0 || got["attempts"] < got["served"] || got["attempts"] > n.answers["sent"] || got["workers_known"] > len(w.plan.Peers) {
 			w.fault("figures", fmt.Sprintf("%s: %v", n.name, got), n.name, "")
 		}
 	}})
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -34,9 +34,10 @@
 	Faults   []Fault `json:"faults"`
 }
 
-// called reports whether control calls come.
+// called reports whether control calls come: where a fault makes them, and for every second seed, whose figures are read at
+// the end.
 func (p *Plan) called() bool {
-	return p.replaced() || slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == "send-away" || f.Kind == "figures" })
+	return p.Seed%2 == 0 || p.replaced() || slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == "send-away" || f.Kind == "figures" })
 }
 
 // replaced reports whether nodes' processes are replaced.
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -28,6 +28,7 @@
 	MostConns               int // connections that one peer had at once
 	MostOpen                int // requests that one node held at once, but for those just come
 	TurnedAway              int // tries that a peer had no room for
+	Figures                 int // nodes whose figures were read and held against their clients
 	Passed, Moved           int // connections of clients, and tries with theirs, that went from one process to another
 	Violations              []rules.Violation
 
@@ -79,7 +80,7 @@
 func build(p *Plan, out *Outcome, opt Options) *World {
 	w := &World{
 		plan: p, start: time.Now(), out: out, wake: make(chan struct{}, 1), rnd: standin.Random(p.Seed, "world"),
-		byAddr: map[string]*machineState{}, found: map[string]*heirs{}, deaf: map[string]bool{}, classes: map[string]int{},
+		byAddr: map[string]*machineState{}, found: map[string]*heirs{}, takers: map[string]*simNode{}, deaf: map[string]bool{}, classes: map[string]int{},
 		log: recorder{hash: xxhash.New(), keep: max(opt.Keep, 1), all: opt.Trace, nodes: opt.Nodes},
 	}
 	w.disco = &standin.Discovery{Clock: w, Keep: p.Keep}
@@ -267,6 +268,12 @@
 
 // finish ends all nodes and looks at what they leave behind.
 func (w *World) finish() {
+	if w.out.Fault == "" && w.plan.called() { // every request that a node has taken must be in its figures now
+		for _, n := range w.nodes {
+			w.figures(n)
+		}
+		w.run(w.now()+500*time.Millisecond, nil)
+	}
 	if w.out.Fault == "" {
 		for _, n := range w.nodes {
 			w.term(n, nil)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -128,16 +128,19 @@
 
 // TestSeeds plays seeds, each with its own machines, load and faults.
 func TestSeeds(t *testing.T) {
-	start, virtual, steps := time.Now(), time.Duration(0), 0
+	start, virtual, steps, figures := time.Now(), time.Duration(0), 0, 0
 	for i := range *seedsFlag {
 		seed := *fromFlag + i**stepFlag
 		out := Run(t, Draw(seed), Options{Keep: 30})
-		virtual, steps = virtual+out.Virtual, steps+out.Steps
+		virtual, steps, figures = virtual+out.Virtual, steps+out.Steps, figures+out.Figures
 		if out.Fault != "" {
 			tell(out, fmt.Sprintf("go run ./tools/sim replay --seed %d", seed))
 			t.Errorf("seed %d: %v", seed, out)
 		}
 	}
+	if figures == 0 && *seedsFlag > 9 {
+		t.Error("no node's figures were read")
+	}
 	fmt.Printf("seeds %d virtual_s %.0f steps %d real_s %.3f\n", *seedsFlag, virtual.Seconds(), steps, time.Since(start).Seconds())
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -56,9 +56,10 @@
 	dialings  []*dialing
 
 	nodes    []*simNode
-	olds     []*simNode        // processes that have been replaced
-	found    map[string]*heirs // by node: where a second process comes
-	parcels  int               // on their way between processes
+	olds     []*simNode          // processes that have been replaced
+	found    map[string]*heirs   // by node: where a second process comes
+	parcels  int                 // on their way between processes
+	takers   map[string]*simNode // of requests, by node and id
 	peers    map[string]*machineState
 	byAddr   map[string]*machineState
 	order    []*machineState
@@ -538,6 +539,9 @@
 		if method, _, _ := standin.Words(p); method == "GET" {
 			l.use.probe = true
 		} else {
+			if a := l.node.answers; a != nil {
+				a["sent"]++
+			}
 			w.tell(rules.Event{Kind: rules.Sent, Node: l.node.name, Request: l.use.id, Peer: l.machine.name, Try: l.use.try})
 		}
 	}
@@ -639,7 +643,7 @@
 // Began implements standin.Watcher.
 func (w *World) Began(node, id string, until time.Time, class string) bool {
 	owed := !w.checker.Owed(node, id)
-	w.count(node, "taken")
+	w.count(node, id, "taken")
 	w.tell(rules.Event{Kind: rules.Taken, Node: node, Request: id, Class: w.classes[class], Until: until.Sub(w.start)})
 	return owed
 }
@@ -647,7 +651,7 @@
 // Ended implements standin.Watcher.
 func (w *World) Ended(node, id string, status int, body string) {
 	e := rules.Event{Kind: rules.Answered, Node: node, Request: id, Verdict: rules.Failed}
-	w.count(node, answered(status))
+	w.count(node, id, answered(status))
 	switch status {
 	case standin.Cut, standin.CutFirst:
 		e.Kind, e.First = rules.Dropped, status == standin.CutFirst
@@ -679,19 +683,25 @@
 	return "unseen"
 }
 
-// count counts a request of a node's process that runs.
-func (w *World) count(node, what string) {
-	for _, n := range w.nodes {
-		if n.name == node && n.answers != nil {
-			n.answers[what]++
+// count counts what becomes of a request at the process of a node that has taken it. An answer may come when the node has
+// started anew.
+func (w *World) count(node, id, what string) {
+	if what == "taken" {
+		for _, n := range w.nodes {
+			if n.name == node {
+				w.takers[node+" "+id] = n
+			}
 		}
 	}
+	if n := w.takers[node+" "+id]; n != nil && n.answers != nil {
+		n.answers[what]++
+	}
 }
 
 // Left implements standin.Watcher.
 func (w *World) Left(node, id string) {
 	w.trace("the client of %s leaves", id)
-	w.count(node, "unseen")
+	w.count(node, id, "unseen")
 	w.tell(rules.Event{Kind: rules.Left, Node: node, Request: id})
 }
 
