Learn within what time jobs start: answers in pieces are no longer taken for waiting jobs

Start notes came after 3 ms in the median and 16 to 18 at the 95th percentile; a job counted as waiting after four times the quickest start, about 7 ms. At fault: startsBy in balance/balance.go, by b.quick alone. Now it is also the time within which four in five jobs start, learned from starts and recalls, at most what another zone may take.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -112,7 +112,7 @@
 		a.w.heard, a.heard = now, now
 		if a.started == 0 {
 			a.started, a.shareAt = now, now
-			b.quick = min(b.quick, now-a.sent)
+			b.started(now - a.sent)
 			step := math.Copysign(b.quick.Seconds()*8, (now-a.sent).Seconds()-b.delay)
 			b.delay = max(0, b.delay+step) // about the median: a few long waits say little of the next
 		}
@@ -549,9 +549,9 @@
 }
 
 // startsBy is how soon a job that does not wait has told of its start, or a probe is answered: a new
-// connection to another zone takes several longer round trips.
+// connection to another zone takes several longer round trips, and answers may come in pieces.
 func (b *Balancer) startsBy(w *worker) time.Duration {
-	return max(4*b.quick+2*b.s.Step, w.reach)
+	return max(4*b.quick+2*b.s.Step, w.reach, b.soon)
 }
 
 // rest is how long a worker that did not answer is left alone, longer each time: with a table full of
@@ -599,7 +599,7 @@
 			continue
 		}
 		if to, _ := b.pick(r); to != nil {
-			a.left = true
+			b.recall(a, silent)
 			w.rep.FreeSlots = min(w.rep.FreeSlots, r.Slots-1) // whatever it reported
 			b.act.Cancel(r.ID, slices.Index(r.attempts, a))
 			b.hold(r)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -893,3 +893,52 @@
 		}
 	}
 }
+
+// Where start notes come late, as in pieces, jobs are soon not taken to wait any more, but for those that do: they are
+// called back a little later.
+func TestLateStarts(t *testing.T) {
+	s := settings()
+	s.TellsStart, s.TellsQueue, s.SecondCopies = true, true, true
+	b, h := ready(t, s, map[string][2]float64{"w1": {9, 9}, "w2": {9, 9}})
+	now := time.Second
+	play := func(i int, starts time.Duration) (called bool) {
+		id := fmt.Sprint("r", i)
+		for _, w := range []string{"w1", "w2"} {
+			b.Probed(now, w, OK, &Report{FreeSlots: 9, FreeMemory: 9, Queue: -1, InHand: -1, Mark: uint64(3*i) + uint64(w[1])})
+		}
+		q := req(id, 1, 0)
+		b.Accept(now, q)
+		for at := time.Millisecond; at < 60*time.Millisecond; at += time.Millisecond {
+			if at == starts {
+				b.Note(now+at, id, 0, Started, 0)
+			}
+			b.Timer(now+at, "")
+		}
+		called = len(h.take("cancel")) > 0
+		for n := range 2 {
+			for _, w := range []string{"w1", "w2"} {
+				b.Done(now+60*time.Millisecond, Outcome{Request: id, Attempt: n, Worker: w, Result: OK, Final: true})
+			}
+		}
+		now += time.Second
+		return called
+	}
+	if play(0, time.Millisecond) {
+		t.Error("a quick one is called back")
+	}
+	early, late := 0, 0
+	for i := range 40 {
+		if !play(1+i, 20*time.Millisecond) {
+		} else if i < 20 {
+			early++
+		} else {
+			late++
+		}
+	}
+	if early == 0 || late > 6 { // one in five may be
+		t.Errorf("of twenty that start after 20 ms %d are called back, then %d", early, late)
+	}
+	if !play(99, 0) {
+		t.Error("one that waits is not called back")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -105,6 +105,7 @@
 	delay   float64            // median seconds from a send to its start note, of late
 	tight   float64            // seconds of the tightest aim
 	quick   time.Duration      // the shortest time from a send to its start note
+	soon    time.Duration      // four in five jobs start sooner; what another zone may take at most
 	usual   float64            // pace of the workers that have told it, on average
 	taken   int                // requests so far
 	rateN   float64            // requests of late, older ones weighing less ...
@@ -198,6 +199,25 @@
 	delete(b.reqs, r.ID)
 }
 
+// started takes the time from a send to its start note. Guards against notes that come in pieces, and so later than the
+// quickest by many times: nearly all jobs would be taken to wait, and be called back.
+func (b *Balancer) started(took time.Duration) {
+	b.quick = min(b.quick, took)
+	step := b.s.DialTimeout / 400
+	if took > b.soon {
+		step *= -4
+	}
+	b.soon = min(max(b.soon-step, 0), b.s.DialTimeout/4)
+}
+
+// recall gives an attempt up: another one is to replace it. One that has not started counts as later than any, unless its
+// worker is silent, which says nothing of starts.
+func (b *Balancer) recall(a *attempt, silent bool) {
+	if a.left = true; a.started == 0 && !silent {
+		b.started(math.MaxInt64)
+	}
+}
+
 // inOrder lists the open requests in the order in which they came.
 func (b *Balancer) inOrder() []*request {
 	return slices.SortedFunc(maps.Values(b.reqs), func(x, y *request) int { return cmp.Compare(x.number, y.number) })
