A node's view of its fleet as a pure core, and its simulation by seeds

Nodes do not know of one another today; drains, releases and the loss of a site need a view that settles. Change: internal/fleet/wire (CBOR datagrams with checksum, version and the fleet's mark), internal/fleet/member (SWIM with Lifeguard, no I/O, no clock, randomness handed in) and internal/sim/views, which plays the same code on virtual time with 19 kinds of fault drawn by seed and 23 named hard cases. Nothing of the product uses it yet.

--- /dev/null
+++ b/internal/sim/views/plan.go
@@ -0,0 +1,173 @@
+// Package views plays many nodes' views of their fleet on virtual time: the product's own cores and wire form, with a
+// network, processes and faults drawn by seed. It checks the invariants after every step, and at the end, once all has
+// been quiet for long enough, that every view is right and that all are equal. A plan always gives the same trace.
+package views
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Plan is all that is played. Times are in periods of the members' probes.
+type Plan struct {
+	Seed    uint64  `json:"seed"`
+	Members int     `json:"members"`
+	Knows   string  `json:"knows"`  // whom each has as seeds: first, ring, some or all
+	Loss    float64 `json:"loss"`   // share of datagrams lost
+	Delay   float64 `json:"delay"`  // one way, in periods
+	Jitter  float64 `json:"jitter"` // up to so much more
+	Twice   float64 `json:"twice"`  // share of datagrams that come twice
+	Damage  float64 `json:"damage"` // share of datagrams that are damaged
+	Forget  float64 `json:"forget"`
+	Most    int     `json:"most"`
+	Length  float64 `json:"length"` // until then things go wrong
+	Quiet   float64 `json:"quiet"`  // so long after that, all has to be settled
+	Faults  []Fault `json:"faults"`
+}
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Kind   string  `json:"kind"`
+	At     float64 `json:"at"`
+	For    float64 `json:"for"`
+	Target int     `json:"target"`
+	Amount float64 `json:"amount"`
+}
+
+// kinds of fault, with what they do.
+var kinds = map[string]string{
+	"kill":     "the process is killed; it starts again after for, if that is above 0",
+	"leave":    "the process says that it leaves, and ends; it starts again after for, if that is above 0",
+	"stop":     "the process stands still for a while",
+	"slow":     "the process stands still and goes on in turn",
+	"split":    "the members fall apart into amount parts that do not reach one another",
+	"alone":    "one member reaches nobody",
+	"half":     "one member does not reach every second of the others",
+	"deaf-to":  "one member hears the next one no more, and is heard by it",
+	"flap":     "one member is cut off and reached again every two periods",
+	"loss":     "this share of all datagrams is lost",
+	"jitter":   "datagrams take up to amount periods longer, and overtake one another",
+	"damage":   "this share of all datagrams is damaged",
+	"overflow": "the process reads only this share of what comes",
+	"twin":     "a second process of the same name lives at another address",
+	"replace":  "another process takes the place of this one without a gap",
+	"many":     "this share of all processes is killed at once; they start again after for",
+	"rolling":  "all processes leave and start again, one after the other within for",
+	"again":    "datagrams that the member has sent before come again, to anybody",
+	"liar":     "one member says of others that they are dead or suspect, with made up incarnations",
+}
+
+// Kinds lists the kinds of fault with what they do.
+func Kinds() (list []string) {
+	for _, k := range slices.Sorted(maps.Keys(kinds)) {
+		list = append(list, k+": "+kinds[k])
+	}
+	return list
+}
+
+// Parse reads a plan; its errors name the key, and the place where the text itself is at fault.
+func Parse(text []byte) (*Plan, error) {
+	p := new(Plan)
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(p); err != nil {
+		before := text[:min(d.InputOffset(), int64(len(text)))]
+		return nil, fmt.Errorf("%d:%d: %w", 1+bytes.Count(before, []byte("\n")), len(before)-bytes.LastIndexByte(before, '\n'), err)
+	}
+	return p, p.check()
+}
+
+func (p *Plan) check() error {
+	ok := func(v, least, most float64) bool { return v >= least && v <= most }
+	switch {
+	case p.Members < 1 || p.Members > 2000:
+		return fmt.Errorf("members: out of range")
+	case !slices.Contains([]string{"first", "ring", "some", "all"}, p.Knows):
+		return fmt.Errorf("knows: %q is not first, ring, some or all", p.Knows)
+	case !ok(p.Loss, 0, 0.9), !ok(p.Twice, 0, 1), !ok(p.Damage, 0, 0.9):
+		return fmt.Errorf("loss, twice, damage: out of range")
+	case !ok(p.Delay, 0, 1), !ok(p.Jitter, 0, 5):
+		return fmt.Errorf("delay, jitter: out of range")
+	case !ok(p.Length, 0, 1e5), !ok(p.Quiet, 0, 1e5), !ok(p.Forget, 1, 1e6):
+		return fmt.Errorf("length, quiet, forget: out of range")
+	case p.Most <= p.Members && p.Most != 0:
+		return fmt.Errorf("most: not above members")
+	}
+	for i, f := range p.Faults {
+		if kinds[f.Kind] == "" {
+			return fmt.Errorf("faults[%d].kind: unknown fault %q; there are %s", i, f.Kind, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
+		}
+		if f.Target < 0 || f.Target >= p.Members {
+			return fmt.Errorf("faults[%d].target: %d is not among the %d", i, f.Target, p.Members)
+		}
+		if !ok(f.At, 0, p.Length) || !ok(f.For, 0, p.Length) || !ok(f.Amount, 0, 1000) {
+			return fmt.Errorf("faults[%d]: at, for or amount is out of range", i)
+		}
+	}
+	return nil
+}
+
+// source returns random numbers of their own for what is named by n.
+func source(seed, n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
+
+// Draw draws a plan by a seed.
+func Draw(seed uint64) *Plan {
+	r := source(seed, 1)
+	p := &Plan{
+		Seed: seed, Members: 1 + r.IntN(12), Knows: []string{"first", "ring", "some", "all"}[r.IntN(4)],
+		Delay: 0.001 + 0.05*r.Float64(), Jitter: 0.05 * r.Float64(), Length: 20 + 60*r.Float64(), Forget: 400,
+	}
+	switch r.IntN(20) {
+	case 0:
+		p.Members = 100 + r.IntN(200)
+	case 1, 2, 3:
+		p.Members = 13 + r.IntN(60)
+	}
+	if r.IntN(3) == 0 {
+		p.Loss = 0.1 * r.Float64()
+	}
+	if r.IntN(4) == 0 {
+		p.Twice = 0.2 * r.Float64()
+	}
+	if r.IntN(6) == 0 {
+		p.Damage = 0.05 * r.Float64()
+	}
+	if r.IntN(5) == 0 {
+		p.Forget = 10 + 30*r.Float64()
+	}
+	names := slices.Sorted(maps.Keys(kinds))
+	for range r.IntN(8) {
+		f := Fault{Kind: names[r.IntN(len(names))], At: p.Length * r.Float64(), Target: r.IntN(p.Members)}
+		f.For = min(p.Length-f.At, 0.2+40*r.Float64()*r.Float64())
+		switch f.Kind {
+		case "split":
+			f.Amount = float64(2 + r.IntN(2))
+		case "loss", "damage":
+			f.Amount = 0.4 * r.Float64()
+		case "jitter":
+			f.Amount = 0.5 * r.Float64()
+		default:
+			f.Amount = r.Float64()
+		}
+		if (f.Kind == "kill" || f.Kind == "leave") && r.IntN(3) == 0 {
+			f.For = 0
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	p.Quiet = quiet(p)
+	return p
+}
+
+// quiet is the bound after which views have to be right and equal.
+func quiet(p *Plan) float64 {
+	q := 120 + float64(p.Members)/2
+	if p.Loss > 0 {
+		q += 60
+	}
+	return q
+}
