--- /dev/null
+++ b/cmd/swiftdeal/fleet.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/fleet/gossip"
+)
+
+type fleets struct {
+	View view `cmd:"" help:"Show the node's view of its fleet. Ends with 0 if it is whole, 1 if not, 2 if the node cannot be asked."`
+}
+
+// asked is where a running node is asked.
+type asked struct {
+	Control string        `env:"GW_CONTROL" required:"" placeholder:"HOST:PORT" help:"The node's control address."`
+	Wait    time.Duration `default:"5s" help:"For its answer."`
+}
+
+type view struct {
+	asked
+	JSON bool `name:"json" help:"As JSON, as the control address has it."`
+}
+
+// ended is an error that ends the program with a code of its own.
+type ended struct {
+	error
+	code int
+}
+
+// ExitCode implements kong's interface.
+func (e ended) ExitCode() int { return e.code }
+
+// get asks a running node for a path of its control address.
+func (a asked) get(path string) ([]byte, error) {
+	c := http.Client{Timeout: a.Wait}
+	resp, err := c.Get("http://" + a.Control + path)
+	if err != nil {
+		return nil, ended{err, 2}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return nil, ended{err, 2}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, ended{fmt.Errorf("%s: %s: %s", a.Control, resp.Status, text), 2}
+	}
+	return text, nil
+}
+
+func (v view) Run() error {
+	text, err := v.get("/-/fleet")
+	if err != nil {
+		return err
+	}
+	var r gossip.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		return ended{err, 2}
+	}
+	if v.JSON {
+		os.Stdout.Write(text)
+	} else {
+		table(os.Stdout, &r)
+	}
+	if !r.Whole {
+		return ended{errors.New("the view is not whole"), 1}
+	}
+	return nil
+}
+
+// table prints a view for people.
+func table(out io.Writer, r *gossip.Report) {
+	fmt.Fprintf(out, "fleet %s as %s sees it; last change %s ago\n", r.Fleet, r.Member, short(r.Changed))
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "MEMBER\tSITE\tSTATUS\tSINCE\tSTATE\tINC\tVERSION\tOPEN\tSERVED/S\tREFUSED/S\tFAILED/S\tADDRESS\tSAID BY")
+	for _, m := range r.Members {
+		name := m.Name
+		if m.Self {
+			name += " *"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d\t%.1f\t%.1f\t%.1f\t%s\t%s\n", name, m.Site, m.Status, short(m.Since), m.State, m.Incarnation,
+			m.Program, m.Digest.Open, m.Digest.Served, m.Digest.Refused, m.Digest.Failed, m.Address, m.By)
+	}
+	t.Flush()
+	for _, c := range r.Conflicts {
+		fmt.Fprintf(out, "two processes under one name: %s\n", c)
+	}
+	if r.Displaced {
+		fmt.Fprintln(out, "another living process goes by this node's name: this one keeps out of the fleet")
+	}
+	if r.Unreached > 0 {
+		fmt.Fprintf(out, "%d of the configured seeds are no living member's\n", r.Unreached)
+	}
+	if r.Health > 0 {
+		fmt.Fprintf(out, "this node doubts itself (%d of 8): it is slow, or hears badly\n", r.Health)
+	}
+}
+
+// short words a time in seconds.
+func short(s float64) string {
+	d := time.Duration(s * float64(time.Second))
+	if d >= time.Minute {
+		return d.Round(time.Second).String()
+	}
+	return d.Round(100 * time.Millisecond).String()
+}
+
+// foretell says what follows from a fleet's file.
+func foretell(out io.Writer, c *config.Config, f *config.Fleet) {
+	name := f.Member
+	if name == "" {
+		name = c.Name
+	}
+	fmt.Fprintf(out, "fleet %s: member %s of site %q hears at %s, others reach it at %s; %d seeds, %d address ranges allowed (0: all)\n",
+		f.Name, name, f.Site, f.Listen, f.Advertise, len(f.Seeds), len(f.Allow))
+	fmt.Fprintf(out, "a probe every %v; members held: %d, the dead for %v\n", f.Period, f.Most, f.Forget)
+	for _, n := range []float64{3, 10, 100, 1000} {
+		if n <= float64(f.Most) {
+			least := 3 * math.Max(1, math.Log10(n))
+			fmt.Fprintf(out, "  with %4.0f members a crash is suspected after about %v and known to all after about %v\n", n,
+				(f.Period * 13 / 10).Round(time.Millisecond), (time.Duration(float64(f.Period) * (3.5 + 1.4*least))).Round(10*time.Millisecond))
+		}
+	}
+	if c.Control == "" {
+		fmt.Fprintln(out, "  no control address: the view cannot be looked at")
+	}
+}
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -21,22 +21,26 @@
 )
 
 // version is the program's version.
-const version = "0.1.0"
+var version = "0.1.0" // set otherwise by builds that stand for another version
 
 type cli struct {
-	Serve   serve `cmd:"" help:"Run a node until SIGTERM, then drain it."`
-	Check   check `cmd:"" help:"Check the configuration and say what follows from it."`
-	Cost    costs `cmd:"" help:"Count what requests cost a node, against a recorded baseline."`
-	Version about `cmd:"" help:"Print the version."`
+	Serve   serve  `cmd:"" help:"Run a node until SIGTERM, then drain it."`
+	Check   check  `cmd:"" help:"Check the configuration and say what follows from it."`
+	Fleet   fleets `cmd:"" help:"Ask a running node about its fleet."`
+	Cost    costs  `cmd:"" help:"Count what requests cost a node, against a recorded baseline."`
+	Version about  `cmd:"" help:"Print the version."`
 
 	CostNode costNode `cmd:"" hidden:""`
 }
 
 type serve struct {
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"What the log holds: ${enum}. At debug, every request and try."`
+	LogForm  string `enum:"text,json" default:"text" help:"The form of its lines: ${enum}."`
+	Fleet    string `placeholder:"FILE" help:"Take part in the fleet that this file describes (TOML)."`
 }
 
 type check struct {
+	Fleet   string `placeholder:"FILE" help:"Check this file of a fleet too, and say what follows from it."`
 	Running string `placeholder:"FILE" type:"existingfile" help:"The file that a node runs with: says what a SIGHUP with the new one would change."`
 }
 
@@ -58,6 +62,12 @@
 	if err != nil {
 		return err
 	}
+	c.Program = version
+	if s.Fleet != "" {
+		if c.Fleet, err = config.LoadFleet(s.Fleet, os.ReadFile); err != nil {
+			return err
+		}
+	}
 	runtime.GOMAXPROCS(c.Limits.Cores)
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -66,7 +76,11 @@
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		return fmt.Errorf("log-level: %w", err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	var form slog.Handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	if s.LogForm == "json" {
+		form = slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	}
+	log := slog.New(form)
 	d, err := listen(ctx, c, log)
 	if err != nil {
 		return err
@@ -99,6 +113,13 @@
 	}
 	fmt.Printf("%s: listen %s, discovery %s, %d peers known, %d classes\n%+v\n",
 		c.Name, c.Listen, c.Discovery, len(c.Known.Peers), len(c.Settings.Balance.Classes), c.Limits)
+	if k.Fleet != "" {
+		f, err := config.LoadFleet(k.Fleet, os.ReadFile)
+		if err != nil {
+			return err
+		}
+		foretell(os.Stdout, c, f)
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,8 @@
 	Known     Group // the upstream group as this node last had it, possibly stale
 	Settings  settings.Settings
 	Limits    Limits
+	Fleet     *Fleet // nil: the node has no part in one
+	Program   string // the program's version
 
 	told     []byte          // the settings as they stand in the file
 	platform platform        // what the node may use
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -27,6 +28,8 @@
 	// Drain sends clients away, and Resume takes them back. They report whether that could be done.
 	Drain() bool
 	Resume() bool
+	// Fleet returns the node's view of its fleet, to be shown as JSON; nil if it has none.
+	Fleet() any
 }
 
 // Server answers calls, one a connection.
@@ -62,6 +65,7 @@
 		"/-/metrics": {http.MethodGet, s.metrics},
 		"/-/drain":   {http.MethodPost, func(w http.ResponseWriter) { word(w, c.Drain()) }},
 		"/-/resume":  {http.MethodPost, func(w http.ResponseWriter) { word(w, c.Resume()) }},
+		"/-/fleet":   {http.MethodGet, s.fleet},
 	}
 	s.srv = &http.Server{
 		Handler: s, ReadTimeout: l.ControlRead, WriteTimeout: l.ControlRead + l.ControlWrite, MaxHeaderBytes: l.ControlBytes,
@@ -114,6 +118,22 @@
 	io.WriteString(w, "yes\n")
 }
 
+// fleet answers with the node's view of its fleet.
+func (s *Server) fleet(w http.ResponseWriter) {
+	v := s.calls.Fleet()
+	if v == nil {
+		http.Error(w, "this node has no part in a fleet, or waits to have it", http.StatusNotFound)
+		return
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(append(text, '\n'))
+}
+
 func (s *Server) metrics(w http.ResponseWriter) {
 	var b bytes.Buffer
 	Text(&b, s.calls.Figures())
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -22,6 +22,7 @@
 func (n *toy) Ready() bool  { return !n.away.Load() }
 func (n *toy) Drain() bool  { n.away.Store(true); return true }
 func (n *toy) Resume() bool { n.away.Store(false); return !n.ended.Load() }
+func (n *toy) Fleet() any   { return nil }
 func (n *toy) Figures() []Family {
 	return []Family{One("gw_in_flight", "Jobs.", true, 3), {Name: "gw_served", Help: "a\\b\nc", Label: "class", Rows: []Row{{"x\"y\\z\n", 812}, {"s", 0}}}}
 }
--- a/internal/fleet/member/hold.go
+++ b/internal/fleet/member/hold.go
@@ -54,6 +54,9 @@
 			}
 			k.readdress(p, r.Addr)
 			p.rec, p.raw, p.fresh = r, slices.Clone(raw), k.now
+			if len(r.Facts) > 0 && len(k.heard) < mostHeard {
+				k.heard = append(k.heard, Told{r.Name, r.Facts})
+			}
 			k.tell(r.Name, true)
 		}
 		if r.Inc > p.inc {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -65,6 +65,7 @@
 	mostPage      = 60 // members in one summary
 	mostChanges   = 256
 	mostConflicts = 8
+	mostHeard     = 64      // records with facts that wait to be taken
 	mostAsked     = 64      // greetings that are remembered
 	mostErrands   = 64      // probes made for others at once
 	mostTold      = 64      // datagrams a period that answer summaries
@@ -88,12 +89,19 @@
 type Change struct {
 	At   time.Duration
 	Name string
+	Life uint64 // as held after it
 	Inc  uint64
 	What string // joined, suspected, refuted, died, left, returned, restarted, replaced, forgotten, conflict, displaced, state, woke
 	Why  string
 	By   string // who said so
 }
 
+// Told is what a member has seen of workers, as its newest record has it.
+type Told struct {
+	By    string
+	Facts []wire.Fact
+}
+
 // Counts are totals since the start.
 type Counts struct {
 	Suspicions, Refutations, Deaths, Probes, Failed, Strangers, Refused, Lies, Full, Syncs, Slept, Renamed int64
@@ -236,6 +244,7 @@
 
 	out     []Send
 	changes []Change
+	heard   []Told
 	changed time.Duration
 	counts  Counts
 }
@@ -308,6 +317,13 @@
 	return c
 }
 
+// Told takes the facts that have come since the last call.
+func (k *Core) Told() []Told {
+	t := k.heard
+	k.heard = nil
+	return t
+}
+
 // Wake is when Step wants to be called at the latest.
 func (k *Core) Wake() time.Duration { return k.wake }
 
@@ -319,7 +335,8 @@
 	if len(k.changes) >= mostChanges {
 		k.changes = slices.Delete(k.changes, 0, 1)
 	}
-	k.changes = append(k.changes, Change{k.now, p, inc, what, why, by})
+	life, _, _, _ := k.Holds(p)
+	k.changes = append(k.changes, Change{k.now, p, life, inc, what, why, by})
 }
 
 // View returns the view as it stands.
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -180,13 +181,23 @@
 	Want     []uint64          `cbor:"14,keyasint,omitempty"`
 }
 
-var (
-	enc = must(cbor.CoreDetEncOptions().EncMode())
-	dec = must(cbor.DecOptions{ // bounds on what a stranger can make a reader do
+// modes are made at first use: a node without a fleet does without them.
+var modes = sync.OnceValues(func() (cbor.EncMode, cbor.DecMode) {
+	return must(cbor.CoreDetEncOptions().EncMode()), must(cbor.DecOptions{ // bounds on what a stranger can make a reader do
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		MaxArrayElements: 256, MaxMapPairs: 64, MaxNestedLevels: 8, UTF8: cbor.UTF8RejectInvalid,
 	}.DecMode())
-)
+})
+
+func marshal(v any) ([]byte, error) {
+	enc, _ := modes()
+	return enc.Marshal(v)
+}
+
+func unmarshal(b []byte, v any) error {
+	_, dec := modes()
+	return dec.Unmarshal(b, v)
+}
 
 func must[T any](v T, err error) T {
 	if err != nil {
@@ -203,7 +214,7 @@
 
 // Encode words a packet for a fleet. It fails with ErrSize where it is longer than MostBytes.
 func Encode(fleet uint32, p *Packet) ([]byte, error) {
-	body, err := enc.Marshal(p)
+	body, err := marshal(p)
 	if err != nil {
 		return nil, err
 	}
@@ -241,7 +252,7 @@
 		return nil, ErrDamaged
 	}
 	p := new(Packet)
-	if err := dec.Unmarshal(b[headBytes:], p); err != nil {
+	if err := unmarshal(b[headBytes:], p); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrForm, err)
 	}
 	if !named(p.From) {
@@ -264,12 +275,12 @@
 func named(i Ident) bool { return i.Name != "" && len(i.Name) <= MostName }
 
 // EncodeRecord words a member's record.
-func EncodeRecord(r *Record) ([]byte, error) { return enc.Marshal(r) }
+func EncodeRecord(r *Record) ([]byte, error) { return marshal(r) }
 
 // DecodeRecord reads a member's record.
 func DecodeRecord(raw []byte) (*Record, error) {
 	r := new(Record)
-	if err := dec.Unmarshal(raw, r); err != nil {
+	if err := unmarshal(raw, r); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrForm, err)
 	}
 	if !named(r.Ident) || r.Addr == "" || len(r.Addr) > 64 || r.State > Leaving || len(r.Facts) > MostFacts || len(raw) > MostRecord {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"net"
 	"runtime/debug"
 	"time"
@@ -47,6 +49,10 @@
 type Machine struct {
 	Dial  Dial
 	Order Order // nil: events are handled as they come
+	// Datagrams opens a socket for datagrams at an address (IP and port).
+	Datagrams func(addr string) (net.PacketConn, error)
+	// Random returns a number that no other process is given.
+	Random func() uint64
 	// Memory sets how many bytes the process may use before garbage is collected harder; nil: nothing is set.
 	Memory func(bytes int64)
 }
@@ -58,6 +64,12 @@
 			// No keep-alive probes: how long a connection may be silent is a limit of the code that uses it.
 			return (&net.Dialer{Timeout: wait, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 		},
+		Datagrams: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp4", addr) },
+		Random: func() uint64 {
+			var b [8]byte
+			rand.Read(b[:]) // it never fails
+			return binary.LittleEndian.Uint64(b[:])
+		},
 		Memory: func(bytes int64) {
 			if debug.SetMemoryLimit(bytes) > bytes {
 				debug.FreeOSMemory() // another process needs it
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -50,6 +50,7 @@
 		var ctx context.Context
 		ctx, n.standing.resume = context.WithCancel(context.Background())
 		go n.sendAway(ctx)
+		defer n.fleet.stir()
 		n.log.Info("sending clients away", "open", n.admit.Open(), "connections", n.conns.count())
 	}
 	return true
@@ -66,6 +67,7 @@
 		n.log.Info("taking clients again", "after_ms", time.Since(n.standing.since).Milliseconds())
 		n.standing.since = time.Time{}
 		n.standing.resume()
+		defer n.fleet.stir()
 	}
 	return true
 }
@@ -126,5 +128,8 @@
 			list[i].Rows = append(list[i].Rows, control.Row{Of: t.Class, Value: value(t)})
 		}
 	}
+	if s := n.fleet.now(); s != nil {
+		list = append(list, s.Figures()...)
+	}
 	return list
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	inForce  settings.Settings // with all classes that there have been; guarded by settle
 	standing standing
 	next     *succession // nil: the process cannot be replaced without a gap
+	fleet    *fleet      // nil: the node has no part in one
 	log      *slog.Logger
 
 	serving                  atomic.Bool // clients' connections are accepted
@@ -85,7 +86,7 @@
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
-	n.memory = m.Memory
+	n.memory, n.fleet = m.Memory, newFleet(n, m, c, log)
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
 	known, list := c.Known, upstream.Events(r)
@@ -130,6 +131,10 @@
 		n.next.enter(ctx, d.Prior)
 	}
 	n.serving.Store(true)
+	if err := n.fleet.enter(d.Prior != nil); err != nil {
+		return err
+	}
+	defer n.fleet.leave()
 	log.Info("serving", "name", c.Name, "listen", d.Clients.Addr(), "peers", len(known.Peers))
 	go func() { failed <- srv.Serve(n.conns.listen(d.Clients)) }()
 	select {
@@ -137,6 +142,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	n.fleet.drains()
 	log.Info("draining", "open", n.admit.Open(), "connections", n.conns.count())
 	n.drain(d.Clients)
 	srv.Close()
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -203,12 +203,16 @@
 		s.n.route.Yield(false)
 		s.n.resize(false)
 		s.doors.shut(false)
+		if err := s.n.fleet.enter(true); err != nil {
+			s.n.log.Error("takes no part in the fleet any more", "error", err)
+		}
 	}
 }
 
 // yield stops taking clients and gives those that are idle to the process on the link.
 func (s *succession) yield(l handover.Link) error {
 	s.doors.shut(true)
+	s.n.fleet.yield()
 	s.n.resize(true)
 	know := s.n.route.Yield(true)
 	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know}); err != nil {
--- /dev/null
+++ b/internal/proving/field.go
@@ -0,0 +1,612 @@
+package proving
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/fleet/gossip"
+	"swiftdeal/internal/rules"
+	"swiftdeal/internal/standin"
+)
+
+// fleetName is the fleet's name in all plans.
+const fleetName = "proving"
+
+// Event is one entry of the event log. Seq numbers them in the order in which the harness saw them.
+type Event struct {
+	Seq  int64   `json:"seq"`
+	Ms   float64 `json:"ms"` // since the harness started; for people and plots, not for verdicts on safety
+	Kind string  `json:"kind"`
+	Who  string  `json:"who,omitempty"` // the process, the worker, the fault
+	Life int     `json:"life,omitempty"`
+	Of   string  `json:"of,omitempty"`
+	Inc  uint64  `json:"inc,omitempty"`
+	Text string  `json:"text,omitempty"`
+}
+
+// Options is how a plan is played.
+type Options struct {
+	Bin, Other string        // the program, and another build of it
+	Dir        string        // where logs and configurations go; it has to exist
+	Progress   func(Step)    // told of what is being done; nil: nobody
+	Extra      []string      // further lines for each node's fleet file, as TOML tables
+	Until      time.Duration // bounds the whole run; 0: ten minutes
+}
+
+// Step is how far a run has come.
+type Step struct {
+	Done, Of time.Duration // of the plan's length
+	What     string
+}
+
+// node is one member of the plan.
+type node struct {
+	i     int
+	site  string
+	proc  *process // nil before the first start
+	olds  []*process
+	lives int
+	ready bool // as the front of its site has last seen
+	bin   string
+	older bool // its configuration holds an older list
+	twin  bool // a second process of another one's name
+	of    int
+}
+
+// Field is what a plan is played on.
+type Field struct {
+	plan  *Plan
+	opt   Options
+	dir   string
+	block *block
+	relay *relay
+	host  *standin.Sockets
+	start time.Time
+	rnd   *rand.Rand
+
+	mu       sync.Mutex
+	seq      int64
+	log      *os.File
+	events   []Event // the last ones
+	failures []string
+	nodes    []*node
+	twins    []*node
+	over     bool
+
+	fleet   *standin.Fleet
+	disco   *standin.Discovery
+	fronts  []*standin.Front
+	workers []*workerState
+	crowds  []*standin.Clients
+	links   map[[2]int]*linkState // by node and worker; -1 is discovery
+	checker *rules.Checker
+	broken  []rules.Violation
+	tries   int
+	jobs    int
+	arrives string // node from which what a stand-in is told comes
+	client  http.Client
+	stats   Stats
+	stop    chan struct{}
+	loops   sync.WaitGroup
+	inCalls map[string]*logState
+	tally   map[string]int     // of what processes say of members
+	worth   map[string]float64 // of jobs that have not been served
+}
+
+// logState is what a process's own log has said so far.
+type logState struct {
+	inc  map[string]uint64 // by member
+	last map[string]string // what was last said of it
+	life map[string]uint64
+	shut map[string]string // workers that it has been told to be draining or gone
+}
+
+// Stats counts what clients, workers and views have come to.
+type Stats struct {
+	Asked, Served, Lost     int
+	Refused, Failed         int
+	SentIll, SentCold, Sent int     // jobs sent to ill and to cold workers, and all
+	Worth, WorthServed      float64 // asked for, and served
+	Fell                    int     // cold workers that fell over
+	Ruled                   int     // rules' violations
+	Passed, Dropped         int64   // datagrams between nodes
+	SettledMs               []float64
+	Deaths, Suspicions      int64
+	BytesEach               float64 // a second, sent by each node
+	CPU                     float64 // of a core, each process on the mean
+	RSSMB                   float64 // each process, on the mean
+}
+
+// workerState is a stand-in worker and its place in the list.
+type workerState struct {
+	p     *standin.Peer
+	entry standin.Entry
+	conns map[*tap]bool
+	ill   bool
+	fell  bool
+	since []fall
+}
+
+type fall struct {
+	at   time.Time
+	work float64
+}
+
+// newField prepares all that a plan needs but the processes.
+func newField(p *Plan, opt Options) (f *Field, err error) {
+	f = &Field{plan: p, opt: opt, dir: opt.Dir, start: time.Now(), host: standin.NewSockets(), rnd: rand.New(rand.NewPCG(p.Seed, 3)),
+		links: map[[2]int]*linkState{}, stop: make(chan struct{}), inCalls: map[string]*logState{}, tally: map[string]int{}, worth: map[string]float64{}}
+	f.client.Timeout = 2 * time.Second
+	f.client.Transport = &http.Transport{DisableKeepAlives: true}
+	if f.block, err = reserve(); err != nil {
+		return nil, err
+	}
+	if f.log, err = os.Create(filepath.Join(f.dir, "events.jsonl")); err != nil {
+		return f, err
+	}
+	total := p.Nodes + 2 // a twin, and one that is nobody's
+	if f.relay, err = newRelay(f, total); err != nil {
+		return f, err
+	}
+	for i := range p.Nodes {
+		f.nodes = append(f.nodes, &node{i: i, site: site(i % p.Sites), bin: opt.Bin})
+	}
+	f.checker = rules.New(rules.Config{
+		Classes: balanceClasses(), AnswerGrace: wide, DrainGrace: time.Hour, WindowSlack: 2 * time.Second, MaxAttempts: 4, SecondCopies: true, Unordered: true,
+	})
+	f.fleet = standin.NewFleet(f.host, f, standinClasses())
+	f.disco = &standin.Discovery{Clock: f.host, Late: 100 * time.Millisecond}
+	for w := range p.Workers {
+		f.newWorker(w)
+	}
+	for i := range total - 1 {
+		if err := f.doors(i); err != nil {
+			return f, err
+		}
+	}
+	for s := range p.Sites {
+		f.crowds = append(f.crowds, standin.NewClients(f.host, f, front{f, site(s)}, p.Seed+uint64(s)))
+	}
+	return f, nil
+}
+
+func site(i int) string { return []string{"jakarta", "surabaya", "medan", "makassar"}[i] }
+
+// class is a class of jobs as all plans have it.
+type class struct {
+	name, effect, scope   string
+	aim, deadline, window float64
+	worth                 float64
+	share                 float64
+}
+
+var classes = []class{
+	{"slot-check", "retryable", "", 1500, 20000, 0, 5, 0.45},
+	{"book-visit", "dedup", "all", 2500, 25000, 40000, 5, 0.35},
+	{"visit-summary", "dedup", "cell", 4000, 30000, 60000, 3, 0.2},
+}
+
+func balanceClasses() (list []balance.Class) {
+	for _, c := range classes {
+		b := balance.Class{Name: c.name, Deadline: time.Duration(c.deadline) * time.Millisecond, Window: time.Duration(c.window) * time.Millisecond}
+		if c.effect == "dedup" {
+			b.Effect = balance.Keyed
+		}
+		if c.scope == "cell" {
+			b.Scope = balance.SameCell
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+func standinClasses() map[string]standin.Class {
+	m := map[string]standin.Class{}
+	for _, c := range classes {
+		m[c.name] = standin.Class{Keyed: c.effect == "dedup", Scope: c.scope, Window: time.Duration(c.window) * time.Millisecond}
+	}
+	return m
+}
+
+// coldFor is how long a worker takes to become warm.
+const coldFor = 8 * time.Second
+
+// newWorker makes a stand-in worker. It starts with the run.
+func (f *Field) newWorker(w int) {
+	p := &standin.Peer{
+		Fleet: f.fleet, ID: fmt.Sprintf("w%d", w), Zone: site(w % f.plan.Sites), Cell: fmt.Sprint(w % 3), Kind: "std", Cores: 4, Slots: 4, Memory: 8, Speed: 1,
+		Queue: 3, Refresh: 300 * time.Millisecond, Progress: time.Second, ColdFrom: 0.13, ColdFor: coldFor, Idle: time.Minute, Returns: true,
+	}
+	p.Seed(f.plan.Seed)
+	s := &workerState{p: p, conns: map[*tap]bool{}, entry: standin.Entry{ID: p.ID, Zone: p.Zone, Kind: p.Kind, Cell: w % 3, State: "in_service", Weight: 1}}
+	f.workers = append(f.workers, s)
+	f.host.Do(func() {
+		p.Start(false)
+		f.tell(rules.Event{Kind: rules.PeerUp, Peer: p.ID, Zone: p.Zone, Cell: p.Cell, Capacity: p.Capacity()})
+		f.disco.Set(s.entry)
+	})
+}
+
+// doors opens the addresses at which a node finds discovery and the workers: its own ones for each, so that what lies
+// between can be struck by itself.
+func (f *Field) doors(i int) error {
+	var fr *standin.Front
+	f.host.Do(func() {
+		fr = f.disco.Front()
+		fr.At = func(e standin.Entry) string {
+			w := 0
+			fmt.Sscanf(e.ID, "w%d", &w)
+			return f.block.worker(i, w)
+		}
+	})
+	f.fronts = append(f.fronts, fr)
+	l := &linkState{}
+	f.links[[2]int{i, -1}] = l
+	if _, err := f.host.ListenAt(f.block.disco(i), func(c standin.Conn) standin.Handler { return f.tap(l, c, i, nil, fr.Open) }); err != nil {
+		return err
+	}
+	for w, s := range f.workers {
+		l := &linkState{}
+		f.links[[2]int{i, w}] = l
+		if _, err := f.host.ListenAt(f.block.worker(i, w), func(c standin.Conn) standin.Handler { return f.tap(l, c, i, s, s.p.Open) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Field) name(i int) string { return fmt.Sprintf("n%d", i) }
+
+// event writes an entry of the event log.
+func (f *Field) event(e Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seq++
+	e.Seq, e.Ms = f.seq, float64(time.Since(f.start).Microseconds())/1000
+	if len(f.events) >= 4000 {
+		f.events = slices.Delete(f.events, 0, 1000)
+	}
+	f.events = append(f.events, e)
+	if text, err := json.Marshal(e); err == nil && f.log != nil {
+		f.log.Write(append(text, '\n'))
+	}
+}
+
+// fail notes what did not hold. A run goes on, so that all of it is seen.
+func (f *Field) fail(kind, format string, a ...any) {
+	text := kind + ": " + fmt.Sprintf(format, a...)
+	f.event(Event{Kind: "FAILED", Text: text})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.failures) < 50 {
+		f.failures = append(f.failures, text)
+	}
+}
+
+// config writes a node's two files and returns its environment and arguments.
+func (f *Field) config(n *node) (env []string, args []string, err error) {
+	dir := filepath.Join(f.dir, fmt.Sprintf("%s-%d", f.name(n.i), n.lives))
+	tmp := filepath.Join(f.dir, f.name(n.i)+".tmp")
+	for _, d := range []string{dir, tmp} {
+		if err := os.MkdirAll(d, 0o755); err != nil {
+			return nil, nil, err
+		}
+	}
+	var profiles []map[string]any
+	for _, c := range classes {
+		profiles = append(profiles, map[string]any{"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim, "deadlineMs": c.deadline,
+			"repeatWindowMs": c.window, "aimStretch": 2.0, "worth": c.worth})
+	}
+	version, list := 0, []standin.Entry{}
+	if n.older { // the first half of the workers, all in service
+		version = 1
+		for w, s := range f.workers[:len(f.workers)/2] {
+			e := s.entry
+			e.State, e.Addr = "in_service", f.block.worker(n.i, w)
+			list = append(list, e)
+		}
+	}
+	c := map[string]any{
+		"name": f.name(n.i), "listen": f.block.clients(n.i), "control": f.block.control(n.i, n.lives), "discovery": f.block.disco(n.i), "seed": fmt.Sprintf("%x", f.plan.Seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512},
+		"known":  json.RawMessage(standin.Text(version, true, list)),
+		"settings": map[string]any{
+			"az": n.site, "balancers": f.plan.Nodes, "me": n.i, "discovery": "on_request", "stepMs": 1,
+			"familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": true, "progressMs": 1000, "queueOrder": "fifo"},
+			"limits": map[string]any{"cancelling": true, "probing": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterMs": 2000,
+				"connIdleMs": 60000, "dialTimeoutMs": 250, "maxAttempts": 4},
+			"loadReport":  map[string]any{"fields": []string{"tps", "concurrent", "x0", "x1"}, "how": "pull"},
+			"obligations": map[string]any{"coldFrom": 0.13, "coldMs": coldFor.Milliseconds(), "fallMultiple": 3, "overloadForMs": 3000},
+			"prices":      map[string]any{"crossZone": 0.029, "waste": 0.04, "lateFail": 0.08, "probe": 0.002},
+			"profiles":    profiles,
+		},
+	}
+	text, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "config.json"), text, 0o644); err != nil {
+		return nil, nil, err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "fleet.toml"), f.fleetFile(n), 0o644); err != nil {
+		return nil, nil, err
+	}
+	env = []string{"GW_CONFIG=" + filepath.Join(dir, "config.json"), "TMPDIR=" + tmp, "PATH=" + os.Getenv("PATH"), "GOTRACEBACK=all"}
+	return env, []string{"serve", "--log-level", "debug", "--log-form", "json", "--fleet", filepath.Join(dir, "fleet.toml")}, nil
+}
+
+// fleetFile words a node's part in the fleet.
+func (f *Field) fleetFile(n *node) []byte {
+	var b bytes.Buffer
+	name := f.name(n.i)
+	if n.twin {
+		name = f.name(n.of)
+	}
+	fmt.Fprintf(&b, "[fleet]\nname = %q\n[member]\nname = %q\nsite = %q\nlisten = %q\nadvertise = %q\n", fleetName, name, n.site, f.block.gossip(n.i), f.block.relay(n.i))
+	seeds := []string{}
+	for _, j := range f.knows(n.i) {
+		seeds = append(seeds, fmt.Sprintf("%q", f.block.relay(j)))
+	}
+	fmt.Fprintf(&b, "[view]\nseeds = [%s]\nallow = [\"127.%d.%d.0/24\"]\nperiod_ms = %d\n", strings.Join(seeds, ", "), f.block.a, f.block.b, int(f.plan.PeriodMs))
+	if f.plan.ForgetS > 0 {
+		fmt.Fprintf(&b, "forget_s = %d\n", int(f.plan.ForgetS))
+	}
+	if f.plan.NoFacts {
+		b.WriteString("facts = false\n")
+	}
+	for _, x := range f.opt.Extra {
+		b.WriteString(x + "\n")
+	}
+	return b.Bytes()
+}
+
+// knows is whom a node has as seeds.
+func (f *Field) knows(i int) (list []int) {
+	switch f.plan.Knows {
+	case "ring":
+		return []int{(i + 1) % f.plan.Nodes}
+	case "all":
+		for j := range f.plan.Nodes {
+			list = append(list, j)
+		}
+		return list
+	}
+	return []int{0, min(1, f.plan.Nodes-1), min(2, f.plan.Nodes-1)}
+}
+
+// run starts a node's process, beside another one that it has if that is told.
+func (f *Field) run(n *node, beside bool) error {
+	f.mu.Lock()
+	over := f.over
+	f.mu.Unlock()
+	if over || n.proc.running() && !beside {
+		return nil
+	}
+	env, args, err := f.config(n)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	n.lives++
+	f.mu.Unlock()
+	p, err := f.launch(n.i, n.lives, n.bin, env, args...)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.proc != nil {
+		n.olds = append(n.olds, n.proc)
+	}
+	n.proc = p
+	return nil
+}
+
+// gone is told that a process has ended.
+func (f *Field) gone(p *process) {
+	f.mu.Lock()
+	asked, over := p.asked, f.over
+	f.mu.Unlock()
+	if !asked && !over {
+		f.fail("crash", "%s ended by itself with code %d: %s", p.name, p.code, p.text(5))
+	}
+	if asked && p.code > 0 && p.code != 137 && !p.expectsFailure {
+		f.fail("crash", "%s ended with code %d", p.name, p.code)
+	}
+}
+
+// get asks a node's control address.
+func (f *Field) get(i int, path string) ([]byte, int, error) {
+	life := 0
+	if i < len(f.nodes) {
+		f.mu.Lock()
+		life = f.nodes[i].lives - 1
+		f.mu.Unlock()
+	}
+	resp, err := f.client.Get("http://" + f.block.control(i, life) + path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return text, resp.StatusCode, err
+}
+
+// View asks a node for its view; nil if it cannot be asked.
+func (f *Field) View(i int) *gossip.Report {
+	text, code, err := f.get(i, "/-/fleet")
+	if err != nil || code != http.StatusOK {
+		return nil
+	}
+	var r gossip.Report
+	if json.Unmarshal(text, &r) != nil {
+		return nil
+	}
+	return &r
+}
+
+// fronts of the sites: they ask each node whether it takes clients.
+func (f *Field) watchReady() {
+	for _, n := range f.nodes {
+		f.loops.Add(1)
+		go func() {
+			defer f.loops.Done()
+			every := time.NewTicker(100 * time.Millisecond)
+			defer every.Stop()
+			misses := 0
+			for {
+				select {
+				case <-f.stop:
+					return
+				case <-every.C:
+				}
+				c := http.Client{Timeout: 500 * time.Millisecond, Transport: f.client.Transport}
+				resp, err := c.Get("http://" + f.block.clients(n.i) + "/ready")
+				ready := err == nil && resp.StatusCode == http.StatusOK
+				if err == nil {
+					resp.Body.Close()
+				}
+				if err != nil {
+					if misses++; misses < 3 { // a death is noticed late
+						continue
+					}
+				} else {
+					misses = 0
+				}
+				f.host.Do(func() { n.ready = ready })
+			}
+		}()
+	}
+}
+
+// front is where the clients of a site reach nodes.
+type front struct {
+	f    *Field
+	site string
+}
+
+// Node implements standin.Reach.
+func (r front) Node(j *standin.Job, try int, _ func(string) bool) string {
+	var in []*node
+	for _, n := range r.f.nodes {
+		if n.ready && n.site == r.site {
+			in = append(in, n)
+		}
+	}
+	if len(in) == 0 { // nobody at the site: another one's front takes them
+		for _, n := range r.f.nodes {
+			if n.ready {
+				in = append(in, n)
+			}
+		}
+	}
+	if len(in) == 0 {
+		return ""
+	}
+	return r.f.name(in[standin.Random(r.f.plan.Seed, fmt.Sprint(j.Name, try)).IntN(len(in))].i)
+}
+
+// Dial implements standin.Reach.
+func (r front) Dial(to string, _ int, h standin.Opener) {
+	i := 0
+	fmt.Sscanf(to, "n%d", &i)
+	r.f.host.Dial(r.f.block.clients(i), h)
+}
+
+// ask sends the plan's jobs, each at its time.
+func (f *Field) ask() {
+	p := f.plan
+	if p.Rate <= 0 {
+		return
+	}
+	r := rand.New(rand.NewPCG(p.Seed, 11))
+	gap := distuv.Exponential{Rate: p.Rate, Src: r}
+	work := distuv.Gamma{Alpha: 2, Beta: 2 / p.WorkMs, Src: r}
+	i := 0
+	for at := 0.0; at < p.LengthMs; i++ {
+		at += gap.Rand() * 1000
+		c, u := classes[0], r.Float64()
+		for _, k := range classes {
+			if c = k; u < k.share {
+				break
+			}
+			u -= k.share
+		}
+		ms := max(5, work.Rand())
+		job := &standin.Job{Name: fmt.Sprintf("j%d", i), Class: c.name, Repeat: c.effect == "retryable" || c.scope == "all", Refused: true, Work: ms / 1000,
+			Hint: time.Duration(ms * float64(time.Millisecond)), Slots: float64(1 + r.IntN(2)), Memory: 0.2, Patient: time.Duration(c.deadline) * time.Millisecond,
+			Retries: 3, Pause: 50 * time.Millisecond}
+		if c.effect == "dedup" {
+			job.Key = "k" + job.Name
+			if c.scope == "all" {
+				job.Within = time.Duration(c.window) * time.Millisecond
+			}
+		}
+		crowd := f.crowds[i%p.Sites]
+		f.jobs++
+		f.host.After(time.Duration(at*float64(time.Millisecond)), func() {
+			f.stats.Worth += c.worth * job.Work
+			f.worth[job.Name] = c.worth * job.Work
+			crowd.Ask(job)
+		})
+	}
+}
+
+// close ends all that a run has started, whatever became of it.
+func (f *Field) close() {
+	f.mu.Lock()
+	f.over = true
+	f.mu.Unlock()
+	close(f.stop)
+	for _, n := range append(slices.Clone(f.nodes), f.twins...) {
+		for _, p := range append(slices.Clone(n.olds), n.proc) {
+			if p != nil {
+				p.kill()
+			}
+		}
+	}
+	f.loops.Wait()
+	f.host.Close()
+	if f.relay != nil {
+		f.relay.close()
+	}
+	if f.log != nil {
+		f.log.Close()
+	}
+	if f.block != nil {
+		f.block.release()
+	}
+}
+
+// usage reads what a process has used: seconds of a core, and megabytes held.
+func usage(pid int) (cpu, mb float64) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil || runtime.GOOS != "linux" {
+		return 0, 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 22 {
+		return 0, 0
+	}
+	var u, s, rss float64
+	fmt.Sscan(fields[11], &u)
+	fmt.Sscan(fields[12], &s)
+	fmt.Sscan(fields[21], &rss)
+	return (u + s) / 100, rss * float64(syscall.Getpagesize()) / (1 << 20)
+}
--- /dev/null
+++ b/internal/proving/plan.go
@@ -0,0 +1,295 @@
+// Package proving starts real processes of the program on loopback, with stand-ins for workers, discovery and clients, lets
+// faults strike them and what lies between them, and judges what happens on the evidence of one event log. It is a harness
+// for tests and tools; no part of it is in the node. docs/design/proving.md says how it works and what was weighed.
+package proving
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Plan is all that is played. Times are in milliseconds from when the first views have settled.
+type Plan struct {
+	Name     string  `json:"name,omitempty"`
+	Seed     uint64  `json:"seed"`
+	Sites    int     `json:"sites"`
+	Nodes    int     `json:"nodes"`
+	Workers  int     `json:"workers"`
+	PeriodMs float64 `json:"period_ms"` // between two probes of the view
+	ForgetS  float64 `json:"forget_s"`  // 0: the program's default
+	Knows    string  `json:"knows"`     // whom each has as seeds: first, ring or all
+	Rate     float64 `json:"rate"`      // jobs a second over all sites; 0: none
+	WorkMs   float64 `json:"work_ms"`   // mean, on a standard core
+	LengthMs float64 `json:"length_ms"` // faults and jobs end by then
+	SettleMs float64 `json:"settle_ms"` // only a real failure takes longer to settle
+	NoFacts  bool    `json:"no_facts,omitempty"`
+	Faults   []Fault `json:"faults"`
+}
+
+// Fault is something that goes wrong. What Target and Other number depends on the kind: nodes, or workers.
+type Fault struct {
+	Kind   string  `json:"kind"`
+	At     float64 `json:"at"`
+	For    float64 `json:"for"`
+	Target int     `json:"target"`
+	Other  int     `json:"other,omitempty"`
+	Amount float64 `json:"amount,omitempty"`
+}
+
+// on says what a fault's target is.
+type on int
+
+const (
+	onAll on = iota
+	onNode
+	onWorker
+	onPair // two nodes
+	onLink // a node and a worker
+)
+
+type faultKind struct {
+	on   on
+	says string
+}
+
+var faultKinds = map[string]faultKind{
+	"kill":         {onNode, "SIGKILL; with for, the process starts again after that"},
+	"term":         {onNode, "SIGTERM; with for, the process starts again so long after it has ended"},
+	"stop":         {onNode, "SIGSTOP, and SIGCONT after for"},
+	"slow":         {onNode, "stopped and continued in turn, every 100 ms, for a while; amount is the share of time that it stands"},
+	"replace":      {onNode, "a second process of the node takes its place by handover; the first gets SIGTERM then"},
+	"other":        {onNode, "SIGTERM, and another binary is started in its place"},
+	"twin":         {onNode, "a second process of the same name runs at another address for a while"},
+	"many":         {onAll, "amount of all nodes are killed at once, and start again after for"},
+	"rolling":      {onAll, "all nodes get SIGTERM and start again, one after the other"},
+	"bad-start":    {onNode, "a process is started with an empty configuration: it has to end by itself and say why"},
+	"old-start":    {onNode, "SIGKILL, and a start with an older list of workers after for"},
+	"split":        {onAll, "the nodes fall apart into amount groups that do not reach one another"},
+	"alone":        {onNode, "the node reaches no other node, and none reaches it"},
+	"half":         {onNode, "the node and every second of the others do not reach one another"},
+	"cut":          {onPair, "the two do not reach one another"},
+	"one-way":      {onPair, "what target sends to other is lost"},
+	"flap":         {onNode, "the node is cut off and reached again, every two periods"},
+	"loss":         {onAll, "amount of the datagrams between nodes is lost"},
+	"delay":        {onAll, "datagrams between nodes take amount ms longer"},
+	"jitter":       {onAll, "datagrams between nodes take up to amount ms longer, and overtake one another"},
+	"twice":        {onAll, "amount of the datagrams between nodes comes twice"},
+	"corrupt":      {onAll, "amount of the datagrams between nodes has a byte changed"},
+	"narrow":       {onNode, "amount bytes a second get through to the node"},
+	"again":        {onNode, "datagrams that the node has sent before come again, some of an earlier life"},
+	"strangers":    {onNode, "datagrams of another fleet, of no form and of nobody known come to the node"},
+	"disco-down":   {onNode, "discovery refuses the node's calls"},
+	"disco-cut":    {onNode, "discovery falls silent towards the node"},
+	"worker-kill":  {onWorker, "the worker's process dies; with for, it starts again cold"},
+	"worker-drain": {onWorker, "the worker drains, and is back after for"},
+	"worker-ill":   {onWorker, "amount of its jobs fail"},
+	"worker-slow":  {onWorker, "it runs amount times slower"},
+	"worker-cut":   {onLink, "the node (target) and the worker (other) do not reach one another"},
+	"many-workers": {onAll, "amount of all workers die at once, and start again cold after for"},
+}
+
+// Kinds lists the kinds of fault with what they do.
+func Kinds() (list []string) {
+	for _, k := range slices.Sorted(maps.Keys(faultKinds)) {
+		list = append(list, k+": "+faultKinds[k].says)
+	}
+	return list
+}
+
+// MostNodes and MostWorkers are what one machine's loopback block holds.
+const (
+	MostNodes   = 64
+	MostWorkers = 200
+)
+
+// ParseError says what is wrong with a plan, and where: line and column, and the key where there is one.
+type ParseError struct {
+	Line, Column int
+	Key, What    string
+}
+
+func (e *ParseError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("%d:%d: %s", e.Line, e.Column, e.What)
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", e.Line, e.Column, e.Key, e.What)
+}
+
+// Parse reads a plan.
+func Parse(text []byte) (*Plan, error) {
+	p := new(Plan)
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(p); err != nil {
+		line, column := place(text, d.InputOffset())
+		return nil, &ParseError{line, column, "", err.Error()}
+	}
+	if key, what := p.check(); key != "" {
+		line, column := place(text, find(text, key))
+		return nil, &ParseError{line, column, key, what}
+	}
+	return p, nil
+}
+
+func place(text []byte, at int64) (line, column int) {
+	before := text[:max(0, min(at, int64(len(text))))]
+	return 1 + bytes.Count(before, []byte("\n")), len(before) - bytes.LastIndexByte(before, '\n')
+}
+
+// find returns where a key such as faults[2].at stands in a text that is whole JSON.
+func find(text []byte, key string) int64 {
+	d := json.NewDecoder(bytes.NewReader(text))
+	var path []string // keys, or [n] in lists
+	var count []int   // of the list that one is in, -1 in an object
+	wantKey := false
+	at := int64(0)
+	value := func() {
+		if n := len(count); n > 0 && count[n-1] >= 0 {
+			path = append(path, fmt.Sprintf("[%d]", count[n-1]))
+			count[n-1]++
+		}
+	}
+	done := func() {
+		if len(path) > 0 {
+			path = path[:len(path)-1]
+		}
+		wantKey = len(count) > 0 && count[len(count)-1] < 0
+	}
+	for {
+		start := d.InputOffset()
+		t, err := d.Token()
+		if err != nil {
+			return at
+		}
+		if wantKey {
+			if s, ok := t.(string); ok {
+				path = append(path, s)
+				wantKey = false
+				if strings.ReplaceAll(strings.Join(path, "."), ".[", "[") == key {
+					return start + int64(bytes.IndexByte(text[start:], '"'))
+				}
+				continue
+			}
+		}
+		switch t {
+		case json.Delim('{'):
+			value()
+			if k := strings.ReplaceAll(strings.Join(path, "."), ".[", "["); k != "" && strings.HasPrefix(key, k) {
+				at = start // where the key itself is missing: the object that it belongs to
+			}
+			count, wantKey = append(count, -1), true
+		case json.Delim('['):
+			value()
+			count = append(count, 0)
+			wantKey = false
+		case json.Delim('}'), json.Delim(']'):
+			count = count[:len(count)-1]
+			done()
+		default:
+			value()
+			done()
+		}
+	}
+}
+
+// check names the key that cannot be right, and why.
+func (p *Plan) check() (key, what string) {
+	ok := func(v, least, most float64) bool { return v >= least && v <= most && !math.IsNaN(v) }
+	for _, c := range []struct {
+		key                string
+		value, least, most float64
+	}{
+		{"sites", float64(p.Sites), 1, 4}, {"nodes", float64(p.Nodes), 1, MostNodes}, {"workers", float64(p.Workers), 0, MostWorkers},
+		{"period_ms", p.PeriodMs, 50, 60000}, {"forget_s", p.ForgetS, 0, 1e6}, {"rate", p.Rate, 0, 10000}, {"work_ms", p.WorkMs, 0, 60000},
+		{"length_ms", p.LengthMs, 0, 3.6e6}, {"settle_ms", p.SettleMs, 0, 3.6e6},
+	} {
+		if !ok(c.value, c.least, c.most) {
+			return c.key, fmt.Sprintf("%g is out of range, %g to %g", c.value, c.least, c.most)
+		}
+	}
+	if p.Rate > 0 && p.Workers == 0 {
+		return "workers", "0, but there are jobs"
+	}
+	if !slices.Contains([]string{"first", "ring", "all"}, p.Knows) {
+		return "knows", fmt.Sprintf("%q is not first, ring or all", p.Knows)
+	}
+	for i, f := range p.Faults {
+		at := func(k string) string { return fmt.Sprintf("faults[%d].%s", i, k) }
+		k, known := faultKinds[f.Kind]
+		if !known {
+			return at("kind"), fmt.Sprintf("unknown fault %q; there are %s", f.Kind, strings.Join(slices.Sorted(maps.Keys(faultKinds)), ", "))
+		}
+		targets, others := p.Nodes, p.Nodes
+		switch k.on {
+		case onAll:
+			targets = 1
+		case onWorker:
+			targets = p.Workers
+		case onLink:
+			others = p.Workers
+		}
+		if f.Target < 0 || f.Target >= targets {
+			return at("target"), fmt.Sprintf("%d is not among the %d", f.Target, targets)
+		}
+		if (k.on == onPair || k.on == onLink) && (f.Other < 0 || f.Other >= others || k.on == onPair && f.Other == f.Target) {
+			return at("other"), fmt.Sprintf("%d is not among the %d, or is the target", f.Other, others)
+		}
+		if !ok(f.At, 0, p.LengthMs) {
+			return at("at"), fmt.Sprintf("%g is not before the plan's end at %g", f.At, p.LengthMs)
+		}
+		if !ok(f.For, 0, 3.6e6) {
+			return at("for"), fmt.Sprintf("%g is out of range", f.For)
+		}
+		if !ok(f.Amount, 0, 1e9) {
+			return at("amount"), fmt.Sprintf("%g is out of range", f.Amount)
+		}
+	}
+	return "", ""
+}
+
+// base is a plan without faults.
+func base(nodes, sites int) Plan {
+	return Plan{Seed: 1, Sites: sites, Nodes: nodes, PeriodMs: 200, Knows: "first", LengthMs: 4000, SettleMs: 120000}
+}
+
+// Draw draws a plan by a seed: small enough for one machine, with several faults as a rule.
+func Draw(seed uint64) *Plan {
+	r := rand.New(rand.NewPCG(seed, 1))
+	p := base(3+r.IntN(6), 1+r.IntN(3))
+	p.Seed, p.Knows, p.LengthMs = seed, []string{"first", "ring", "all"}[r.IntN(3)], float64(6000+r.IntN(8000))
+	p.Workers, p.Rate, p.WorkMs = 4+r.IntN(6), 10+30*r.Float64(), 40+100*r.Float64()
+	names := slices.Sorted(maps.Keys(faultKinds))
+	for range 1 + r.IntN(4) {
+		f := Fault{Kind: names[r.IntN(len(names))], At: math.Round(p.LengthMs * 0.7 * r.Float64()), For: math.Round(300 + 5000*r.Float64()*r.Float64())}
+		f.Target, f.Amount = r.IntN(p.Nodes), math.Round(100*r.Float64())/100
+		f.Other = (f.Target + 1 + r.IntN(p.Nodes-1)) % p.Nodes
+		switch faultKinds[f.Kind].on {
+		case onAll:
+			f.Target = 0
+		case onWorker:
+			f.Target = r.IntN(p.Workers)
+		case onLink:
+			f.Other = r.IntN(p.Workers)
+		}
+		switch f.Kind {
+		case "split":
+			f.Amount = float64(2 + r.IntN(2))
+		case "loss", "corrupt":
+			f.Amount = 0.4 * r.Float64()
+		case "delay", "jitter":
+			f.Amount = 100 * r.Float64()
+		case "narrow":
+			f.Amount = 500 + 5000*r.Float64()
+		case "worker-slow":
+			f.Amount = 2 + 8*r.Float64()
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	return &p
+}
--- /dev/null
+++ b/internal/proving/process.go
@@ -0,0 +1,220 @@
+package proving
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Build builds the program into a folder and returns where it is. version stands for another version of it; "" for its own.
+func Build(dir, version string, args ...string) (string, error) {
+	root, err := Root()
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "swiftdeal"+version)
+	cmd := []string{"build", "-o", bin}
+	if version != "" {
+		cmd = append(cmd, "-ldflags", "-X main.version="+version)
+	}
+	c := exec.Command("go", append(append(cmd, args...), "swiftdeal/cmd/swiftdeal")...)
+	c.Dir = root
+	if out, err := c.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return bin, nil
+}
+
+// Root is the top of the repository: the first folder upwards that holds its go.mod.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		up := filepath.Dir(dir)
+		if up == dir {
+			return "", errors.New("no go.mod above the working folder")
+		}
+		dir = up
+	}
+}
+
+// process is one process of a node.
+type process struct {
+	f              *Field
+	name           string
+	node           int
+	life           int
+	cmd            *exec.Cmd
+	log            string // its file
+	ended          chan struct{}
+	code           int
+	asked          bool // told to end
+	paused         bool
+	struck         int // it was stopped or killed: its clients may have had no answer
+	expectsFailure bool
+
+	mu    sync.Mutex
+	lines [][]byte // the last ones of its log
+}
+
+// starter starts all processes from one thread that lives as long as the harness: the machine kills them when that thread
+// ends, however it does, so that nothing is left behind.
+type starter struct{ do chan func() }
+
+func newStarter() *starter {
+	s := &starter{make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for f := range s.do {
+			f()
+		}
+	}()
+	return s
+}
+
+var theStarter = sync.OnceValue(newStarter)
+
+// launch starts a process with its log in a file, from which lines are read as they come.
+func (f *Field) launch(node, life int, bin string, env []string, args ...string) (*process, error) {
+	p := &process{f: f, name: f.name(node), node: node, life: life, ended: make(chan struct{}), log: filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", f.name(node), life))}
+	file, err := os.Create(p.log)
+	if err != nil {
+		return nil, err
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		file.Close()
+		return nil, err
+	}
+	p.cmd = exec.Command(bin, args...)
+	p.cmd.Env, p.cmd.Stderr, p.cmd.Stdout = env, w, w
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	done := make(chan error)
+	theStarter().do <- func() { done <- p.cmd.Start() }
+	err = <-done
+	w.Close()
+	if err != nil {
+		r.Close()
+		file.Close()
+		return nil, err
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		defer file.Close()
+		defer r.Close()
+		in := bufio.NewScanner(r)
+		in.Buffer(nil, 1<<20)
+		for in.Scan() {
+			file.Write(append(in.Bytes(), '\n'))
+			p.heard(bytes.Clone(in.Bytes()))
+		}
+	}()
+	go func() {
+		p.cmd.Wait()
+		<-read
+		p.code = p.cmd.ProcessState.ExitCode()
+		f.event(Event{Kind: "ended", Who: p.name, Life: life, Text: p.cmd.ProcessState.String()})
+		close(p.ended)
+		f.gone(p)
+	}()
+	f.event(Event{Kind: "started", Who: p.name, Life: life, Text: fmt.Sprintf("process %d", p.cmd.Process.Pid)})
+	return p, nil
+}
+
+const keptLines = 400
+
+// heard takes a line of the process's log.
+func (p *process) heard(line []byte) {
+	p.mu.Lock()
+	if len(p.lines) >= keptLines {
+		p.lines = p.lines[1:]
+	}
+	p.lines = append(p.lines, line)
+	p.mu.Unlock()
+	if bytes.HasPrefix(line, []byte("panic:")) || bytes.HasPrefix(line, []byte("fatal error:")) {
+		p.f.fail("crash", "%s: %s", p.name, line)
+	}
+	if !bytes.HasPrefix(line, []byte("{")) {
+		return
+	}
+	var l logLine
+	if json.Unmarshal(line, &l) == nil {
+		p.f.logged(p, &l)
+	}
+}
+
+// logLine is a line of a process's log, as far as it is looked at.
+type logLine struct {
+	Time    time.Time                    `json:"time"`
+	Msg     string                       `json:"msg"`
+	Part    string                       `json:"part"`
+	Member  string                       `json:"member"`
+	What    string                       `json:"what"`
+	Why     string                       `json:"why"`
+	By      string                       `json:"by"`
+	Inc     uint64                       `json:"incarnation"`
+	Life    uint64                       `json:"life"`
+	Version int64                        `json:"version"`
+	Kind    int                          `json:"kind"`
+	ID      string                       `json:"id"`
+	Peer    string                       `json:"peer"`
+	Peers   []struct{ ID, State string } `json:"peers"`
+}
+
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to the process, by its id.
+func (p *process) signal(s syscall.Signal) {
+	if p.running() {
+		p.f.event(Event{Kind: "signal", Who: p.name, Life: p.life, Text: s.String()})
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process and waits until it is gone.
+func (p *process) kill() {
+	if p.running() {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Kill()
+		<-p.ended
+	}
+}
+
+// text is the end of the process's log.
+func (p *process) text(n int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var b strings.Builder
+	for _, l := range p.lines[max(0, len(p.lines)-n):] {
+		b.Write(l)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/proving/relay.go
@@ -0,0 +1,220 @@
+package proving
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"swiftdeal/internal/fleet/wire"
+)
+
+// relay stands between all nodes: each is told the others at the relay's addresses, and hears them from there. What one
+// sends to another goes through the fault in force from the one to the other.
+type relay struct {
+	f *Field
+
+	mu    sync.Mutex
+	socks []*net.UDPConn
+	byIP  map[netip.Addr]int
+	rnd   *rand.Rand
+	loss, twice, corrupt,
+	delay, jitter float64 // ms
+	cuts    map[int]func(from, to int) bool
+	cutSeq  int
+	narrow  map[int]float64   // bytes a second to a node
+	free    map[int]time.Time // when a narrow way is free
+	kept    map[int][][]byte  // what a node has sent, some of it
+	timers  map[*time.Timer]bool
+	closed  bool
+	work    sync.WaitGroup
+	passed  int64
+	dropped int64
+	bytes   map[int]int64 // sent by a node
+	count   map[int]int64
+}
+
+func newRelay(f *Field, n int) (*relay, error) {
+	r := &relay{f: f, byIP: map[netip.Addr]int{}, rnd: rand.New(rand.NewPCG(f.plan.Seed, 7)), cuts: map[int]func(int, int) bool{}, narrow: map[int]float64{},
+		free: map[int]time.Time{}, kept: map[int][][]byte{}, timers: map[*time.Timer]bool{}, bytes: map[int]int64{}, count: map[int]int64{}}
+	for i := range n {
+		a, err := net.ResolveUDPAddr("udp4", f.block.relay(i))
+		if err != nil {
+			return nil, err
+		}
+		s, err := net.ListenUDP("udp4", a)
+		if err != nil {
+			return nil, err
+		}
+		r.socks = append(r.socks, s)
+		r.byIP[netip.MustParseAddrPort(f.block.gossip(i)).Addr()] = i
+	}
+	for i := range r.socks {
+		r.work.Add(1)
+		go r.read(i)
+	}
+	return r, nil
+}
+
+// read takes what is sent to a node.
+func (r *relay) read(to int) {
+	defer r.work.Done()
+	b := make([]byte, 4096)
+	for {
+		n, from, err := r.socks[to].ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		i, ok := r.byIP[from.Addr().Unmap()]
+		if !ok {
+			continue
+		}
+		r.pass(i, to, slices.Clone(b[:n]))
+	}
+}
+
+// pass lets a datagram through, as far as the faults in force do.
+func (r *relay) pass(from, to int, b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bytes[from] += int64(len(b))
+	r.count[from]++
+	if k := r.kept[from]; len(k) < 64 {
+		r.kept[from] = append(k, b)
+	} else if r.rnd.IntN(8) == 0 {
+		k[r.rnd.IntN(len(k))] = b
+	}
+	for _, cut := range r.cuts {
+		if cut(from, to) {
+			r.dropped++
+			return
+		}
+	}
+	if r.rnd.Float64() < r.loss {
+		r.dropped++
+		return
+	}
+	wait := time.Duration((r.delay + r.jitter*r.rnd.Float64()) * float64(time.Millisecond))
+	if rate := r.narrow[to]; rate > 0 {
+		now := time.Now()
+		if r.free[to].Before(now) {
+			r.free[to] = now
+		}
+		if r.free[to].Sub(now) > time.Second { // what a queue on the way holds
+			r.dropped++
+			return
+		}
+		r.free[to] = r.free[to].Add(time.Duration(float64(len(b)) / rate * float64(time.Second)))
+		wait += r.free[to].Sub(now)
+	}
+	if r.rnd.Float64() < r.corrupt {
+		b = slices.Clone(b)
+		b[r.rnd.IntN(len(b))] ^= byte(1 + r.rnd.IntN(255))
+	}
+	copies := 1
+	if r.rnd.Float64() < r.twice {
+		copies = 2
+	}
+	for range copies {
+		r.later(wait, func() { r.send(from, to, b) })
+	}
+}
+
+// later does something after a while; r.mu is held.
+func (r *relay) later(wait time.Duration, do func()) {
+	if wait <= 0 {
+		do()
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(wait, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.timers, t)
+		if !r.closed {
+			do()
+		}
+	})
+	r.timers[t] = true
+}
+
+// send brings a datagram to a node, from the other's relay.
+func (r *relay) send(from, to int, b []byte) {
+	r.passed++
+	r.socks[from].WriteToUDPAddrPort(b, netip.MustParseAddrPort(r.f.block.gossip(to)))
+}
+
+// cut puts a cut into force and returns how to end it.
+func (r *relay) cut(lost func(from, to int) bool) (heal func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutSeq++
+	id := r.cutSeq
+	r.cuts[id] = lost
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.cuts, id)
+	}
+}
+
+// set changes a figure that holds for all pairs.
+func (r *relay) set(v *float64, to float64) (back func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*v = to
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		*v = 0
+	}
+}
+
+// again sends what a node has sent before to anybody.
+func (r *relay) again(from int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.kept[from] {
+		to := r.rnd.IntN(len(r.socks))
+		if to != from {
+			r.send(from, to, b)
+		}
+	}
+}
+
+// strangers sends a node what none of its fleet sends, from an address that no node has.
+func (r *relay) strangers(to int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.socks[len(r.socks)-1]
+	at := netip.MustParseAddrPort(r.f.block.gossip(to))
+	for i := range 50 {
+		p := &wire.Packet{Kind: wire.Kind(1 + r.rnd.IntN(12)), Seq: r.rnd.Uint64(), From: wire.Ident{Name: "stranger", Life: r.rnd.Uint64(), Inc: r.rnd.Uint64()}, To: r.f.name(to)}
+		mark := wire.Mark(fleetName)
+		if i%3 == 0 {
+			mark = wire.Mark("another")
+		}
+		b, err := wire.Encode(mark, p)
+		if err != nil || i%5 == 0 {
+			b = make([]byte, 8)
+			binary.LittleEndian.PutUint64(b, r.rnd.Uint64())
+		}
+		s.WriteToUDPAddrPort(b, at)
+	}
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	for t := range r.timers {
+		t.Stop()
+	}
+	r.mu.Unlock()
+	for _, s := range r.socks {
+		s.Close()
+	}
+	r.work.Wait()
+}
--- /dev/null
+++ b/internal/proving/scenarios.go
@@ -0,0 +1,146 @@
+package proving
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Scenario is a hard case by name, with what has to hold beside what always has to.
+type Scenario struct {
+	Name string
+	Plan Plan
+	Then Check
+}
+
+// with changes a plan.
+func with(p Plan, change func(*Plan)) Plan {
+	change(&p)
+	return p
+}
+
+// load adds workers and jobs.
+func load(p *Plan) { p.Workers, p.Rate, p.WorkMs = 6, 25, 60 }
+
+// struck is a plan of so many nodes in two sites that take jobs while something happens to them.
+func struck(nodes int, length float64, faults ...Fault) Plan {
+	return with(base(nodes, 2), func(p *Plan) {
+		load(p)
+		p.LengthMs, p.Faults = length, faults
+	})
+}
+
+// want fails the run unless the processes have said at least so often that something happened to a member.
+func (f *Field) want(least int, member, what string) {
+	if n := f.Count(member, what); n < least {
+		f.fail("view", "%s %s: said %d times, not %d", member, what, n, least)
+	}
+}
+
+// never fails the run if the processes have said that something happened to a member.
+func (f *Field) never(member, what string) {
+	if n := f.Count(member, what); n > 0 {
+		f.fail("view", "%s %s: said %d times", member, what, n)
+	}
+}
+
+// row is a member as a node sees it.
+func (f *Field) row(at int, member string) (status, program string, inc uint64) {
+	if v := f.View(at); v != nil {
+		for _, m := range v.Members {
+			if m.Name == member {
+				return m.Status, m.Program, m.Incarnation
+			}
+		}
+	}
+	return "", "", 0
+}
+
+// figure reads one of a node's figures.
+func (f *Field) figure(at int, name string) (v float64) {
+	text, _, err := f.get(at, "/-/metrics")
+	if err != nil {
+		return -1
+	}
+	for _, l := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(l, name+" "); ok {
+			fmt.Sscan(rest, &v)
+		}
+	}
+	return v
+}
+
+// Scenarios are the hard cases of the view.
+var Scenarios = []Scenario{
+	{"strangers-start-at-once", with(base(10, 3), func(p *Plan) { p.Knows, p.LengthMs = "ring", 300 }), nil},
+	{"crash", struck(5, 4000, Fault{Kind: "kill", At: 500, Target: 3}), func(f *Field) {
+		if v := f.View(0); v == nil || v.Whole {
+			f.fail("view", "a view with a crashed member is called whole")
+		}
+		f.want(4, "n3", "died")
+		f.never("n3", "left")
+	}},
+	{"left", struck(5, 4000, Fault{Kind: "term", At: 500, Target: 3}), func(f *Field) {
+		f.want(4, "n3", "left")
+		if v := f.View(0); v == nil || !v.Whole {
+			f.fail("view", "a view whose only missing member has left is not called whole")
+		}
+	}},
+	{"one-way-cut", struck(6, 5000, Fault{Kind: "one-way", At: 500, For: 4000, Target: 1, Other: 3}), nil},
+	{"cut-from-half", struck(6, 5000, Fault{Kind: "half", At: 500, For: 4000, Target: 1}), nil},
+	{"split-in-two", struck(6, 6000, Fault{Kind: "split", At: 500, For: 5000, Amount: 2}), func(f *Field) { f.want(1, "n1", "returned") }},
+	{"split-in-three", struck(6, 6000, Fault{Kind: "split", At: 500, For: 5000, Amount: 3}), func(f *Field) { f.want(1, "n1", "returned") }},
+	{"one-against-all", struck(6, 6000, Fault{Kind: "alone", At: 500, For: 5000, Target: 4}), func(f *Field) { f.want(5, "n4", "returned") }},
+	{"split-beyond-memory", with(base(6, 2), func(p *Plan) {
+		p.ForgetS, p.LengthMs, p.Faults = 10, 17000, []Fault{{Kind: "split", At: 200, For: 16500, Amount: 2}}
+	}), func(f *Field) { f.want(1, "n1", "forgotten") }},
+	{"flapping-link", struck(6, 6000, Fault{Kind: "flap", At: 500, For: 5000, Target: 2}), nil},
+	{"loss-and-jitter", struck(6, 6000, Fault{Kind: "loss", At: 200, For: 5500, Amount: 0.3}, Fault{Kind: "jitter", At: 200, For: 5500, Amount: 50}), nil},
+	{"stopped-for-long", struck(5, 7000, Fault{Kind: "stop", At: 500, For: 6000, Target: 3}), func(f *Field) {
+		f.want(4, "n3", "died")
+		_, _, inc := f.row(0, "n3")
+		f.mu.Lock()
+		refuted := f.tally["n3.1 n3 refuted"]
+		f.mu.Unlock()
+		if inc < 2 || int(inc) != 1+refuted { // each new incarnation is its own answer to its death
+			f.fail("view", "n3 is at incarnation %d after %d refutations", inc, refuted)
+		}
+	}},
+	{"slow", struck(5, 5000, Fault{Kind: "slow", At: 500, For: 4000, Target: 2, Amount: 0.7}), nil},
+	{"killed-and-back-at-once", struck(5, 4000, Fault{Kind: "kill", At: 500, For: 50, Target: 3}), func(f *Field) { f.never("n3", "conflict") }},
+	{"twin", with(base(5, 2), func(p *Plan) { p.LengthMs, p.Faults = 9000, []Fault{{Kind: "twin", At: 300, For: 7000, Target: 2}} }), func(f *Field) {
+		f.want(3, "n2", "conflict")
+		if n := f.Count("n2", "displaced"); n < 1 || n > 2 {
+			f.fail("view", "%d times one of two processes under one name gave way", n)
+		}
+	}},
+	{"replaced", struck(5, 4000, Fault{Kind: "replace", At: 500, Target: 3}), func(f *Field) {
+		f.want(1, "n3", "replaced")
+		f.never("n3", "conflict")
+		f.never("n3", "left")
+		f.never("n3", "died")
+	}},
+	{"seven-in-ten-killed", struck(10, 8000, Fault{Kind: "many", At: 500, For: 4000, Amount: 0.7}), nil},
+	{"rolling-restart", struck(4, 14000, Fault{Kind: "rolling", At: 300, For: 200}), nil},
+	{"earlier-life", struck(5, 5000, Fault{Kind: "kill", At: 300, For: 300, Target: 3}, Fault{Kind: "term", At: 300, Target: 4},
+		Fault{Kind: "again", At: 3000, For: 1500, Target: 3}, Fault{Kind: "again", At: 3000, For: 1500, Target: 4}), func(f *Field) { f.never("n4", "returned") }},
+	{"full-buffer", struck(5, 5000, Fault{Kind: "slow", At: 500, For: 4000, Target: 2, Amount: 0.9}, Fault{Kind: "strangers", At: 500, For: 4000, Target: 2}), nil},
+	{"strangers", struck(3, 3000, Fault{Kind: "strangers", At: 200, For: 2500, Target: 1}), func(f *Field) {
+		if n := f.figure(1, `gw_fleet_datagrams_dropped{reason="fleet"}`); n < 1 {
+			f.fail("view", "%g datagrams of another fleet were dropped", n)
+		}
+		if v := f.View(0); v == nil || len(v.Members) != 3 {
+			f.fail("view", "a stranger is among the members")
+		}
+	}},
+	{"fleet-of-one", struck(1, 1500), nil},
+	{"bad-links", struck(5, 5000, Fault{Kind: "corrupt", At: 200, For: 4500, Amount: 0.3}, Fault{Kind: "twice", At: 200, For: 4500, Amount: 0.5},
+		Fault{Kind: "delay", At: 200, For: 4500, Amount: 20}, Fault{Kind: "narrow", At: 200, For: 4500, Target: 2, Amount: 3000}), func(f *Field) {
+		if n := f.figure(1, `gw_fleet_datagrams_dropped{reason="damaged"}`); n < 1 {
+			f.fail("view", "%g damaged datagrams were dropped", n)
+		}
+	}},
+	{"workers-and-discovery", struck(4, 8000, Fault{Kind: "worker-kill", At: 500, For: 2000, Target: 1}, Fault{Kind: "worker-drain", At: 800, For: 2000, Target: 2},
+		Fault{Kind: "worker-ill", At: 500, For: 3000, Target: 3, Amount: 0.8}, Fault{Kind: "worker-cut", At: 1000, For: 2000, Target: 1, Other: 4},
+		Fault{Kind: "disco-down", At: 500, For: 3000, Target: 2}, Fault{Kind: "disco-cut", At: 500, For: 4000, Target: 3}), nil},
+	{"bad-and-old-start", struck(4, 4000, Fault{Kind: "bad-start", At: 300, Target: 1}, Fault{Kind: "old-start", At: 300, For: 200, Target: 2}), nil},
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,6 +46,7 @@
 	upstream Upstream
 	open     map[string]*entry
 	log      *slog.Logger
+	debug    bool          // the log holds what happens to each request
 	order    machine.Order // of events at one instant; nil: as they come
 	start    time.Time
 	over     chan struct{} // closed when Run has ended
@@ -68,6 +69,7 @@
 	r.tick = func() { r.b.Timer(r.now(), "") }
 	r.wake = func() { r.box.post(machine.Source{Kind: machine.Timer}, r.tick) }
 	r.look = func() { r.box.post(machine.Source{Kind: machine.Timer}, func() { r.viewNext = false }) }
+	r.debug = log.Enabled(context.Background(), slog.LevelDebug)
 	var err error
 	r.b, err = balance.New(s, seed, r)
 	if err == nil && order != nil {
@@ -168,7 +170,9 @@
 		if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges {
 			r.sender.Update(g) // first: the Balancer may send to a peer as soon as it hears of it
 		}
-		r.log.Debug("group", "kind", kind, "version", g.Version, "entries", len(g.Peers))
+		if r.debug {
+			r.log.Debug("group", "kind", kind, "version", g.Version, "entries", len(g.Peers), "peers", states(g))
+		}
 		r.b.Members(r.now(), kind, g.Workers())
 		if !r.holds && len(g.Peers) > 0 {
 			r.holds = true
@@ -177,6 +181,15 @@
 	})
 }
 
+// states words what a message says of each peer, for the log.
+func states(g config.Group) []map[string]string {
+	list := []map[string]string{}
+	for _, p := range g.Peers {
+		list = append(list, map[string]string{"id": p.ID, "state": [...]string{"gone", "ready", "draining"}[p.State]})
+	}
+	return list
+}
+
 // Moved posts discovery's new address. The Balancer asks there at once.
 func (r *Stage) Moved(addr string) {
 	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
@@ -339,6 +352,9 @@
 	e := r.open[id]
 	attempt := len(e.cancels)
 	e.out++
+	if r.debug {
+		r.log.Debug("sends", "id", id, "attempt", attempt, "peer", peer)
+	}
 	select {
 	case <-e.c.Ended():
 		// Guards against a try in vain: the client has left, or the backstop has answered, and the Balancer
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -88,6 +88,10 @@
 	ListedAfter  time.Duration // what the list holds counts as told so long after; 0: only when told
 	MaxAttempts  int           // 0 for no limit
 	SecondCopies bool
+	// Unordered: the trace was taken on real sockets. What happens on one connection is in order, what happens on two may
+	// be seen in either. A refusal is then judged at the end (Close), and a try that is seen after its request's answer is
+	// not held against the node.
+	Unordered    bool
 	ColdFrom     float64
 	ColdFor      time.Duration
 	FallMultiple float64
@@ -162,6 +166,8 @@
 	due   dueHeap
 	found []Violation
 	last  time.Duration
+
+	refused []*job // that are judged at the end
 }
 
 // New returns a checker.
@@ -265,6 +271,20 @@
 	return c.found
 }
 
+// Close ends a trace: all that was out has ended. It returns what could only be judged now.
+func (c *Checker) Close() []Violation {
+	c.found = nil
+	for _, j := range c.refused {
+		for _, t := range j.tries {
+			if !t.never {
+				c.broken(2, Event{At: c.last, Node: j.node, Request: j.id, Peer: t.peer}, "refused, which invites a repeat, though a try may have run")
+				break
+			}
+		}
+	}
+	return c.found
+}
+
 // Open is the number of requests that are owed an answer.
 func (c *Checker) Open() (n int) {
 	for _, j := range c.jobs {
@@ -356,6 +376,10 @@
 		if cl.Effect == balance.Safe || cl.Effect == balance.Keyed && cl.Scope == balance.AllWorkers {
 			return
 		}
+		if c.c.Unordered {
+			c.refused = append(c.refused, j)
+			return
+		}
 		for _, t := range j.tries {
 			if t.out || !t.never {
 				c.broken(2, e, "refused, which invites a repeat, though a try may have run")
@@ -379,7 +403,7 @@
 		c.broken(2, e, "sent for a request that no client has brought")
 		return
 	}
-	if j.over && !j.shared && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
+	if j.over && !j.shared && !c.c.Unordered && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
 		c.broken(1, e, "sent after the end of its request")
 	}
 	cl := &c.c.Classes[j.class]
--- a/internal/sim/views/world.go
+++ b/internal/sim/views/world.go
@@ -101,6 +101,7 @@
 	lying                map[int]*rand.Rand
 	quiet                bool          // faults are over and all has had its time
 	last                 time.Duration // when the last fault ended
+	still                int           // steps since time moved
 	verbose              bool
 	keep                 bool // changes are kept in seen
 	seen                 []member.Change
@@ -428,6 +429,11 @@
 		if e.off {
 			continue
 		}
+		if w.still++; e.at > w.now {
+			w.still = 0
+		} else if w.still > 200000 {
+			w.fault("time stands still")
+		}
 		w.now = e.at
 		w.out.Steps++
 		e.run()
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -102,7 +102,8 @@
 
 // Front is an address at which discovery is asked.
 type Front struct {
-	Delay time.Duration // before a call is answered
+	Delay time.Duration      // before a call is answered
+	At    func(Entry) string // the address that an entry has for whoever asks here; nil: its own
 
 	d       *Discovery
 	down    bool
@@ -111,6 +112,17 @@
 	watches []*watch
 }
 
+// text words a message as it is told here.
+func (f *Front) text(version int, full bool, list []Entry) []byte {
+	if f.At != nil {
+		list = slices.Clone(list)
+		for i := range list {
+			list[i].Addr = f.At(list[i])
+		}
+	}
+	return Text(version, full, list)
+}
+
 // Front returns a further address of the service.
 func (d *Discovery) Front() *Front {
 	f := &Front{d: d}
@@ -147,7 +159,7 @@
 	}
 	for _, w := range f.watches {
 		w.version = f.d.version
-		w.line(Text(f.d.version, true, f.list), &Mark{Full: true, List: f.list})
+		w.line(w.f.text(f.d.version, true, f.list), &Mark{Full: true, List: f.list})
 	}
 }
 
@@ -225,7 +237,7 @@
 		return
 	}
 	if !strings.Contains(query, "follow=1") {
-		text := Text(version, true, list)
+		text := f.text(version, true, list)
 		w.c.Write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text), &Mark{Full: true, List: list})
 		return
 	}
@@ -234,7 +246,7 @@
 	from, err := strconv.Atoi(since)
 	if err != nil || from <= 0 || from > version || len(f.d.changes) > 0 && from < f.d.changes[0].version-1 {
 		w.version = version
-		w.line(Text(version, true, list), &Mark{Full: true, List: list})
+		w.line(w.f.text(version, true, list), &Mark{Full: true, List: list})
 	} else if w.version = from; f.stale == 0 {
 		w.tell()
 	}
@@ -265,11 +277,11 @@
 	}
 	if c := w.f.d.changes; c[0].version > w.version+1 { // it has forgotten some of them
 		w.version = w.f.d.version
-		w.line(Text(w.version, true, w.f.d.now), &Mark{Full: true, List: w.f.d.now})
+		w.line(w.f.text(w.version, true, w.f.d.now), &Mark{Full: true, List: w.f.d.now})
 		return
 	}
 	w.version = w.f.d.version
-	w.line(Text(w.version, false, latest(list)), &Mark{List: latest(list)})
+	w.line(w.f.text(w.version, false, latest(list)), &Mark{List: latest(list)})
 }
 
 // latest keeps the last entry of each peer.
--- /dev/null
+++ b/tools/proving/main.go
@@ -0,0 +1,249 @@
+// Command proving plays plans with real processes of the program on loopback (internal/proving): one from a file, drawn
+// ones, many one after the other; and shows what a run has left. Run it from the top of the repository.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"swiftdeal/internal/proving"
+)
+
+type cli struct {
+	Run    run    `cmd:"" help:"Play the plan in a file, or a named scenario."`
+	Draw   draw   `cmd:"" help:"Print the plan of a seed, as a file that can be changed and played."`
+	Soak   soak   `cmd:"" help:"Play drawn plans one after the other."`
+	Report report `cmd:"" help:"Show what a run has left in its folder, and plot how the views converged."`
+	Faults faults `cmd:"" help:"List the kinds of fault that a plan may name, and the scenarios."`
+}
+
+// how is how plans are played.
+type how struct {
+	Dir   string `default:"" placeholder:"FOLDER" help:"Where logs and results stay; a new folder if it is not given."`
+	Quiet bool   `help:"No progress bar."`
+}
+
+type run struct {
+	how
+	Plan string `arg:"" help:"The plan's file, or a scenario's name."`
+}
+
+type draw struct {
+	Seed uint64 `arg:""`
+}
+
+type soak struct {
+	how
+	N     int    `short:"n" default:"20" help:"How many."`
+	From  uint64 `default:"1" help:"The first seed."`
+	Nodes int    `help:"So many processes, in place of the number drawn."`
+}
+
+type report struct {
+	Dir  string `arg:"" type:"existingdir"`
+	Plot string `placeholder:"FILE.png" help:"Plot the views that were right over time."`
+}
+
+type faults struct{}
+
+// build builds the program, and another version of it, into a folder that the caller removes.
+func build() (bin, other string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "proving-")
+	if err != nil {
+		return "", "", nil, err
+	}
+	remove = func() { os.RemoveAll(dir) }
+	if bin, err = proving.Build(dir, ""); err == nil {
+		other, err = proving.Build(dir, "0.2.0-other")
+	}
+	if err != nil {
+		remove()
+	}
+	return bin, other, remove, err
+}
+
+// folder makes the folder of a run.
+func (h how) folder(name string) (string, error) {
+	if h.Dir == "" {
+		return os.MkdirTemp("", "proving-"+name+"-")
+	}
+	dir := filepath.Join(h.Dir, name)
+	return dir, os.MkdirAll(dir, 0o755)
+}
+
+// bar shows how far a run has come.
+func (h how) bar(name string) func(proving.Step) {
+	if h.Quiet {
+		return nil
+	}
+	return func(s proving.Step) {
+		const width = 30
+		share := 0.0
+		if s.Of > 0 {
+			share = min(1, s.Done.Seconds()/s.Of.Seconds())
+		}
+		n := int(share * width)
+		fmt.Fprintf(os.Stderr, "\r%-28s [%s%s] %-30s %5.1f s left ", name, strings.Repeat("#", n), strings.Repeat(".", width-n), s.What, max(0, (s.Of-s.Done).Seconds()))
+	}
+}
+
+// play plays one plan and leaves plan, results and events in a folder.
+func (h how) play(name string, p *proving.Plan, bin, other string, checks ...proving.Check) (*proving.Result, error) {
+	dir, err := h.folder(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := write(filepath.Join(dir, "plan.json"), p); err != nil {
+		return nil, err
+	}
+	r, err := proving.Run(p, proving.Options{Bin: bin, Other: other, Dir: dir, Progress: h.bar(name)}, checks...)
+	if !h.Quiet {
+		fmt.Fprintln(os.Stderr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := write(filepath.Join(dir, "result.json"), r); err != nil {
+		return nil, err
+	}
+	verdict := "holds"
+	if !r.Ok() {
+		verdict = "FAILED: " + strings.Join(r.Failures, "; ")
+	}
+	fmt.Printf("%s: %s\n  views settled after %.0f ms; %d jobs asked, %d served, %d lost; each process %.2f%% of a core, %.0f MB, %.0f bytes a second to its fleet\n  %s\n",
+		name, verdict, r.Stats.SettledMs, r.Stats.Asked, r.Stats.Served, r.Stats.Lost, 100*r.Stats.CPU, r.Stats.RSSMB, r.Stats.BytesEach, dir)
+	return r, nil
+}
+
+func write(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+func (r run) Run() error {
+	var p *proving.Plan
+	var checks []proving.Check
+	name := strings.TrimSuffix(filepath.Base(r.Plan), ".json")
+	for i := range proving.Scenarios {
+		if s := &proving.Scenarios[i]; s.Name == r.Plan {
+			p = &s.Plan
+			if s.Then != nil {
+				checks = append(checks, s.Then)
+			}
+		}
+	}
+	if p == nil {
+		text, err := os.ReadFile(r.Plan)
+		if err != nil {
+			return err
+		}
+		if p, err = proving.Parse(text); err != nil {
+			return fmt.Errorf("%s:%w", r.Plan, err)
+		}
+	}
+	bin, other, remove, err := build()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	res, err := r.play(name, p, bin, other, checks...)
+	if err == nil && !res.Ok() {
+		err = errors.New("the plan failed")
+	}
+	return err
+}
+
+func (d draw) Run() error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(proving.Draw(d.Seed))
+}
+
+func (s soak) Run() error {
+	bin, other, remove, err := build()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	failed, start := 0, time.Now()
+	for i := range s.N {
+		p := proving.Draw(s.From + uint64(i))
+		if s.Nodes > 0 {
+			p.Nodes = s.Nodes
+		}
+		r, err := s.play(fmt.Sprintf("seed-%d", p.Seed), p, bin, other)
+		if err != nil {
+			return err
+		}
+		if !r.Ok() {
+			failed++
+		}
+	}
+	fmt.Printf("%d plans in %v, %d failed\n", s.N, time.Since(start).Round(time.Second), failed)
+	if failed > 0 {
+		return errors.New("some plans failed")
+	}
+	return nil
+}
+
+func (r report) Run() error {
+	text, err := os.ReadFile(filepath.Join(r.Dir, "result.json"))
+	if err != nil {
+		return err
+	}
+	var res proving.Result
+	if err := json.Unmarshal(text, &res); err != nil {
+		return err
+	}
+	fmt.Printf("%+v\n", res.Stats)
+	for _, f := range res.Failures {
+		fmt.Println("FAILED:", f)
+	}
+	fmt.Print(res.Timeline)
+	if r.Plot == "" {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Views that are right", "seconds", "views"
+	var right, of plotter.XYs
+	for _, s := range res.Views {
+		right, of = append(right, plotter.XY{X: s.Ms / 1000, Y: float64(s.Right)}), append(of, plotter.XY{X: s.Ms / 1000, Y: float64(s.Of)})
+	}
+	for _, l := range []plotter.XYs{right, of} {
+		line, err := plotter.NewLine(l)
+		if err != nil {
+			return err
+		}
+		p.Add(line)
+	}
+	return p.Save(16*vg.Centimeter, 8*vg.Centimeter, r.Plot)
+}
+
+func (faults) Run() error {
+	for _, k := range proving.Kinds() {
+		fmt.Println(k)
+	}
+	fmt.Println("\nscenarios:")
+	for _, s := range proving.Scenarios {
+		fmt.Println(" ", s.Name)
+	}
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("proving"), kong.Description("Real processes of the program under faults, on loopback."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/tools/sim/views.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"swiftdeal/internal/sim/mutants"
+	"swiftdeal/internal/sim/views"
+)
+
+type viewsCmd struct {
+	Seeds   viewSeeds   `cmd:"" help:"Play drawn seeds of fleets' views on all cores."`
+	Replay  viewReplay  `cmd:"" help:"Play one seed again and print all that views hold."`
+	Measure viewMeasure `cmd:"" help:"Measure detection, spread, false deaths, healing and traffic at several sizes."`
+	Mutants viewMutants `cmd:"" help:"Plant faults in the view, and say which scenarios and seeds catch each."`
+	Faults  viewFaults  `cmd:"" help:"List the kinds of fault."`
+}
+
+type viewSeeds struct {
+	N    int    `short:"n" default:"1000" help:"How many."`
+	From uint64 `default:"1" help:"The first one."`
+}
+
+// all does something for each of n on all cores.
+func all(n int, do func(i int)) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, runtime.NumCPU())
+	for i := range n {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			do(i)
+		})
+	}
+	wg.Wait()
+}
+
+func (s viewSeeds) Run() error {
+	var mu sync.Mutex
+	failed, start := 0, time.Now()
+	worst, steps := time.Duration(0), 0
+	all(s.N, func(i int) {
+		seed := s.From + uint64(i)
+		o := views.Run(views.Draw(seed), false)
+		mu.Lock()
+		defer mu.Unlock()
+		steps += o.Steps
+		worst = max(worst, o.SettledAfter)
+		if o.Fault != "" {
+			failed++
+			fmt.Printf("seed %d at %v: %s\n", seed, o.At, o.Fault)
+		}
+	})
+	fmt.Printf("%d seeds in %.0f s, %d steps; the slowest settled %.0f periods after its last fault; %d failed\n", s.N, time.Since(start).Seconds(), steps,
+		worst.Seconds()/views.Period.Seconds(), failed)
+	if failed > 0 {
+		return errors.New("some seeds failed")
+	}
+	return nil
+}
+
+type viewReplay struct {
+	Seed uint64 `arg:""`
+}
+
+func (r viewReplay) Run() error {
+	p := views.Draw(r.Seed)
+	fmt.Printf("%+v\n", *p)
+	o := views.Run(p, true)
+	for _, l := range o.Log {
+		fmt.Println(l)
+	}
+	if o.Fault != "" {
+		return errors.New(o.Fault)
+	}
+	return nil
+}
+
+type viewMeasure struct {
+	Sizes   []int     `default:"8,32,128,512,1000" help:"Members."`
+	Loss    []float64 `default:"0,0.1,0.3" help:"Shares of datagrams that are lost."`
+	Crashes int       `default:"20" help:"At each size, without loss."`
+	Life    float64   `default:"100000" help:"Periods of members in which false deaths are counted, at each size and loss."`
+	Seed    uint64    `default:"1"`
+	Plot    string    `placeholder:"FILE.png" help:"Plot detection and spread over the size."`
+}
+
+func quantile(l []float64, q float64) float64 {
+	if len(l) == 0 {
+		return 0
+	}
+	l = append([]float64(nil), l...)
+	sort.Float64s(l)
+	return l[int(q*float64(len(l)-1)+0.5)]
+}
+
+func (m viewMeasure) Run() error {
+	type cell struct {
+		n    int
+		loss float64
+		f    views.Figures
+	}
+	var cells []cell
+	for _, n := range m.Sizes {
+		for _, l := range m.Loss {
+			cells = append(cells, cell{n: n, loss: l})
+		}
+	}
+	all(len(cells), func(i int) {
+		c := &cells[len(cells)-1-i] // the large ones first
+		crashes := 0
+		if c.loss == 0 {
+			crashes = m.Crashes
+		}
+		c.f = views.Measure(c.n, c.loss, crashes, m.Life/float64(c.n), m.Seed)
+	})
+	fmt.Println("| members | loss | first suspected (mean) | known to all (median, most) | healed | bytes a second | datagrams a second | suspicions and false deaths in a million member-periods |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+	var first, known plotter.XYs
+	for _, c := range cells {
+		mean := 0.0
+		for _, v := range c.f.First {
+			mean += v / float64(len(c.f.First))
+		}
+		fmt.Printf("| %d | %.2f | %.2f | %.1f, %.1f | %.1f | %.0f | %.2f | %.0f, %.2f (in %.0f) |\n", c.n, c.loss, mean, quantile(c.f.Known, 0.5), quantile(c.f.Known, 1),
+			quantile(c.f.Healed, 1), c.f.Bytes, c.f.Datagrams, c.f.Suspected, c.f.FalsePerMillion, c.f.MemberPeriods)
+		if c.loss == 0 {
+			first = append(first, plotter.XY{X: float64(c.n), Y: mean})
+			known = append(known, plotter.XY{X: float64(c.n), Y: quantile(c.f.Known, 0.5)})
+		}
+	}
+	if m.Plot == "" {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "A crash: first suspected, and known to all", "members", "periods"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	for _, xys := range []plotter.XYs{first, known} {
+		l, s, err := plotter.NewLinePoints(xys)
+		if err != nil {
+			return err
+		}
+		p.Add(l, s)
+	}
+	return p.Save(16*vg.Centimeter, 8*vg.Centimeter, m.Plot)
+}
+
+type viewMutants struct {
+	Only string `help:"Only this one."`
+	Most int    `default:"60" help:"Seeds to play on each."`
+}
+
+func (m viewMutants) Run() error {
+	root, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	lines := make([]string, len(mutants.Fleet))
+	missed := 0
+	all(len(mutants.Fleet), func(i int) {
+		mu := &mutants.Fleet[i]
+		if m.Only != "" && m.Only != mu.Name {
+			return
+		}
+		lines[i] = m.hunt(mu, root)
+	})
+	fmt.Println("| mutant | offends | caught by |\n| --- | --- | --- |")
+	for i, l := range lines {
+		if l != "" {
+			fmt.Printf("| %s | %s | %s |\n", mutants.Fleet[i].Name, mutants.Fleet[i].Breaks, l)
+			if strings.HasPrefix(l, "MISSED") {
+				missed++
+			}
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d mutants were missed", missed)
+	}
+	return nil
+}
+
+// hunt plays all scenarios, the core's own tests, and seeds on one mutant.
+func (m viewMutants) hunt(mu *mutants.FleetMutant, root string) string {
+	dir, err := os.MkdirTemp("", "swiftdeal-mutant-")
+	if err != nil {
+		return "MISSED: " + err.Error()
+	}
+	defer os.RemoveAll(dir)
+	overlay, err := mu.Overlay(root, dir)
+	if err != nil {
+		return "MISSED: " + err.Error()
+	}
+	var by []string
+	for _, t := range []struct {
+		pkg  string
+		args []string
+	}{
+		{"views", []string{"-test.run", "^TestScenarios$"}}, {"member", []string{"-test.run", "."}},
+		{"views", []string{"-test.run", "^TestSeeds$", "-seeds", fmt.Sprint(m.Most)}},
+	} {
+		bin := filepath.Join(dir, t.pkg+".test")
+		path := map[string]string{"views": "./internal/sim/views", "member": "./internal/fleet/member"}[t.pkg]
+		if out, err := exec.Command("go", "test", "-c", "-vet=off", "-o", bin, "-overlay", overlay, path).CombinedOutput(); err != nil {
+			return "MISSED: " + string(out)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+		c := exec.CommandContext(ctx, bin, t.args...)
+		c.Dir, c.Env = dir, append(os.Environ(), "GOMAXPROCS=1")
+		var out bytes.Buffer
+		c.Stdout, c.Stderr = &out, &out
+		if c.Run() != nil {
+			for _, l := range strings.Split(out.String(), "\n") {
+				if name, ok := strings.CutPrefix(strings.TrimSpace(l), "--- FAIL: "); ok && len(by) < 6 {
+					name, _, _ = strings.Cut(name, " ")
+					by = append(by, strings.TrimPrefix(name, "TestScenarios/"))
+				}
+			}
+			if ctx.Err() != nil {
+				by = append(by, "time running out")
+			}
+		}
+		stop()
+	}
+	if len(by) == 0 {
+		return "MISSED"
+	}
+	return strings.Join(by, ", ")
+}
+
+type viewFaults struct{}
+
+func (viewFaults) Run() error {
+	for _, k := range views.Kinds() {
+		fmt.Println(k)
+	}
+	return nil
+}
