Nodes tell one another of workers seen to restart or err, with bounds on what is believed

Change: internal/fleet/facts settles without I/O or clock what is told and believed; it enters the decision module by Learn, with all else that the node holds of the worker, so that own sends to a cold worker stay counted. Digest with room by class.

--- a/balance/know.go
+++ b/balance/know.go
@@ -59,6 +59,22 @@
 	return k
 }
 
+// Rooms is how many further jobs of one slot of each class the listed workers have room for, by the figures by which jobs are
+// sent.
+func (b *Balancer) Rooms(now time.Duration) []int {
+	b.now = now
+	rooms := make([]int, len(b.s.Classes))
+	for i := range rooms {
+		r := &request{Request: Request{Class: i, Slots: 1}, c: &b.s.Classes[i]}
+		for _, w := range b.workers {
+			if w.probeFails == 0 && b.able(w, r, nil) {
+				rooms[i] += int(max(b.room(w, r), 0))
+			}
+		}
+	}
+	return rooms
+}
+
 // Learn takes over what another balancer of the same settings has learned. A value that cannot be right is left out, and
 // so is a worker that the list does not name, or that has started anew since.
 func (b *Balancer) Learn(now time.Duration, k Knowledge) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -128,8 +128,5 @@
 			list[i].Rows = append(list[i].Rows, control.Row{Of: t.Class, Value: value(t)})
 		}
 	}
-	if s := n.fleet.now(); s != nil {
-		list = append(list, s.Figures()...)
-	}
-	return list
+	return append(list, n.fleet.figures()...)
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/control"
+	"swiftdeal/internal/fleet/facts"
 	"swiftdeal/internal/fleet/gossip"
+	"swiftdeal/internal/fleet/member"
 	"swiftdeal/internal/fleet/wire"
 	"swiftdeal/internal/machine"
 )
@@ -23,6 +29,11 @@
 	service *gossip.Service // nil while another process of the node takes part
 	ending  bool            // it says that it drains
 
+	book *facts.Book // the owner of the Balancer's own
+	last atomic.Pointer[looked]
+	// Facts of others that were believed, by kind.
+	colds, ills atomic.Int64
+
 	rates struct {
 		at                      time.Time
 		served, refused, failed int64
@@ -30,6 +41,13 @@
 	}
 }
 
+// looked is what the Balancer knew at a time.
+type looked struct {
+	at    time.Time
+	facts []wire.Fact
+	rooms []int
+}
+
 // newFleet returns the node's part in the fleet; nil if it has none.
 func newFleet(n *Node, m machine.Machine, c *config.Config, log *slog.Logger) *fleet {
 	if c.Fleet == nil {
@@ -37,6 +55,7 @@
 	}
 	f := &fleet{n: n, m: m, c: c, log: log}
 	f.rates.at = time.Now()
+	f.book = facts.New(facts.Defaults(c.Settings.Balance.ColdFor))
 	return f
 }
 
@@ -51,10 +70,14 @@
 	if f.service != nil || f.ending {
 		return nil
 	}
-	s := gossip.New(f.m, gossip.Options{
+	o := gossip.Options{
 		Fleet: f.c.Fleet, Name: f.c.Name, Clients: f.c.Listen, Control: f.c.Control, Program: f.c.Program, Replaces: replaces, Own: f.own,
 		BindWait: f.n.limits.BindWait,
-	}, f.log)
+	}
+	if f.c.Fleet.Facts {
+		o.Heard = f.heard
+	}
+	s := gossip.New(f.m, o, f.log)
 	if err := s.Start(); err != nil {
 		return fmt.Errorf("fleet: member.listen: %w", err)
 	}
@@ -135,10 +158,80 @@
 	}
 	known, excluded := n.route.View()
 	o.Digest = r.d
+	if l := f.last.Load(); l != nil {
+		if f.c.Fleet.Facts {
+			o.Facts = slices.Clone(l.facts)
+			for i := range o.Facts {
+				o.Facts[i].AgeMs += uint32(time.Since(l.at) / time.Millisecond)
+			}
+		}
+		n.settle.Lock()
+		names := n.inForce.ClassNames()
+		n.settle.Unlock()
+		o.Digest.Room = map[string]int32{}
+		for i, room := range l.rooms[:min(len(l.rooms), len(names))] {
+			o.Digest.Room[names[i]] = int32(room)
+		}
+	}
+	n.route.Look(f.look) // for the next time: the Balancer's owner may be busy
 	o.Digest.Open, o.Digest.Workers, o.Digest.Shunned = uint32(n.admit.Open()), uint32(known), uint32(excluded)
 	return o
 }
 
+// look takes what the Balancer knows. It is called by the Balancer's owner.
+func (f *fleet) look(now time.Duration, k balance.Knowledge, rooms []int) {
+	list := make([]facts.Seen, 0, len(k.Workers))
+	for _, w := range k.Workers {
+		s := facts.Seen{Worker: w.ID, Started: w.Started, Ill: w.Fails > 1 || w.ProbeFails > 1}
+		if w.Reported && !s.Ill && w.Fails == 0 {
+			s.Well = w.Measured
+		}
+		list = append(list, s)
+	}
+	f.last.Store(&looked{time.Now(), f.book.Own(now, list), rooms})
+}
+
+// heard takes what others tell of workers. It is called by the owner of the view; the Balancer's owner settles what is
+// believed.
+func (f *fleet) heard(told []member.Told) {
+	var all []wire.Fact
+	for _, t := range told {
+		all = append(all, t.Facts...)
+	}
+	settled := false
+	cautions := map[string][]facts.Caution{}
+	f.n.route.Heed(func(now time.Duration, w *balance.Known) (changed bool) {
+		if !settled {
+			settled = true
+			for _, c := range f.book.Heard(now, all) {
+				cautions[c.Worker] = append(cautions[c.Worker], c)
+			}
+		}
+		for _, c := range cautions[w.ID] {
+			switch {
+			case c.Kind == wire.Restarted && c.At > w.Started:
+				w.Started, changed = c.At, true
+				f.colds.Add(1)
+			case c.Kind == wire.Ill && c.At > w.Until:
+				w.Until, changed = c.At, true
+				f.ills.Add(1)
+			}
+		}
+		return changed
+	})
+}
+
+// figures returns the fleet's figures; none where there is no part in one.
+func (f *fleet) figures() []control.Family {
+	s := f.now()
+	if s == nil {
+		return nil
+	}
+	believed := control.Family{Name: "gw_fleet_facts_believed", Help: "Facts on workers taken from others, by kind.", Label: "kind",
+		Rows: []control.Row{{Of: "restarted", Value: f.colds.Load()}, {Of: "ill", Value: f.ills.Load()}}}
+	return append(s.Figures(), believed)
+}
+
 // Fleet implements control.Calls.
 func (n *Node) Fleet() any {
 	if r := n.fleet.now().Report(); r != nil {
--- a/internal/proving/field.go
+++ b/internal/proving/field.go
@@ -44,6 +44,7 @@
 	Bin, Other string        // the program, and another build of it
 	Dir        string        // where logs and configurations go; it has to exist
 	Progress   func(Step)    // told of what is being done; nil: nobody
+	Begun      Check         // called once the first views have settled; nil: nothing is
 	Extra      []string      // further lines for each node's fleet file, as TOML tables
 	Until      time.Duration // bounds the whole run; 0: ten minutes
 }
@@ -432,13 +433,7 @@
 
 // get asks a node's control address.
 func (f *Field) get(i int, path string) ([]byte, int, error) {
-	life := 0
-	if i < len(f.nodes) {
-		f.mu.Lock()
-		life = f.nodes[i].lives - 1
-		f.mu.Unlock()
-	}
-	resp, err := f.client.Get("http://" + f.block.control(i, life) + path)
+	resp, err := f.client.Get("http://" + f.Control(i) + path)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -447,6 +442,13 @@
 	return text, resp.StatusCode, err
 }
 
+// Control is the address at which a node's process is asked.
+func (f *Field) Control(i int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.block.control(i, f.nodes[i].lives-1)
+}
+
 // View asks a node for its view; nil if it cannot be asked.
 func (f *Field) View(i int) *gossip.Report {
 	text, code, err := f.get(i, "/-/fleet")
--- a/internal/proving/run.go
+++ b/internal/proving/run.go
@@ -63,6 +63,9 @@
 	}
 	f.watchReady()
 	f.settle(r, "start")
+	if opt.Begun != nil {
+		opt.Begun(f)
+	}
 	begin := time.Now()
 	f.event(Event{Kind: "begin"})
 	f.host.Do(f.ask)
@@ -103,6 +106,9 @@
 	return r, nil
 }
 
+// Bound is how long settling may take: only a real failure reaches it.
+func (p *Plan) Bound() time.Duration { return ms(p.SettleMs) }
+
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
 // say tells how far the run has come.
@@ -328,6 +334,9 @@
 	}
 }
 
+// Restart starts a node's process again, for checks and examples.
+func (f *Field) Restart(i int) { f.again(f.nodes[i], 1) }
+
 // wait lets a fault last.
 func (f *Field) wait(d float64) {
 	select {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -267,6 +267,29 @@
 	r.box.post(machine.Source{Kind: machine.Discovery}, func() { r.b.Learn(r.now(), k) })
 }
 
+// Look posts a look at what the Balancer knows. It does not wait; seen is called by the Balancer's owner, and may have it
+// learn more.
+func (r *Stage) Look(seen func(now time.Duration, k balance.Knowledge, rooms []int)) {
+	r.box.post(machine.Source{Kind: machine.Discovery}, func() { seen(r.now(), r.b.Know(), r.b.Rooms(r.now())) })
+}
+
+// Heed posts others' word on workers. It enters as knowledge of this node's own, with what that holds otherwise: caution says
+// which workers' starts and backing off change.
+func (r *Stage) Heed(caution func(now time.Duration, w *balance.Known) bool) {
+	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
+		now, k := r.now(), r.b.Know()
+		changed := k.Workers[:0]
+		for _, w := range k.Workers {
+			if w.Reported = false; caution(now, &w) { // the report that is held stays
+				changed = append(changed, w)
+			}
+		}
+		if k.Workers = changed; len(changed) > 0 {
+			r.b.Learn(now, k)
+		}
+	})
+}
+
 // Yield posts whether another process takes clients in this one's place, and waits for what the Balancer has learned
 // until then.
 func (r *Stage) Yield(yes bool) (k balance.Knowledge) {
