A change of state is told with the incarnation held, not with an older record's

Cause, found by a plan of 60 real processes (n39 held n7 at 2 and then at 1): internal/fleet/member/hold.go logged a member's change of state with its record's incarnation; the record may be older than the refutation that is held. Ruled out: the view itself, whose incarnation does not go back (invariant of the simulation). Test: TestStateAfterRefutation, which fails without the change.

--- a/internal/fleet/member/hold.go
+++ b/internal/fleet/member/hold.go
@@ -50,7 +50,7 @@
 		}
 		if r.Seq > p.rec.Seq {
 			if old := p.rec; old.State != r.State {
-				k.change(r.Name, r.Inc, "state", r.State.String(), by)
+				k.change(r.Name, max(p.inc, r.Inc), "state", r.State.String(), by)
 			}
 			k.readdress(p, r.Addr)
 			p.rec, p.raw, p.fresh = r, slices.Clone(raw), k.now
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -213,3 +213,23 @@
 		t.Error("the one that has left did not give way")
 	}
 }
+
+// What is said of a member never goes back behind the incarnation held: a record may be older than the last refutation.
+func TestStateAfterRefutation(t *testing.T) {
+	k := core(0)
+	greet(t, k, 0, "n1", "10.0.1.1:1", 9, 1)
+	raw, err := wire.EncodeRecord(&wire.Record{Ident: wire.Ident{Name: "n1", Life: 9, Inc: 1}, Seq: 2, Addr: "10.0.1.1:1", State: wire.Draining})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.Changes()
+	k.Take(0, "10.0.1.1:1", &wire.Packet{Kind: wire.Gossip, From: wire.Ident{Name: "n1", Life: 9, Inc: 2}, To: "me", Records: []cbor.RawMessage{raw}})
+	for _, c := range k.Changes() {
+		if c.What == "state" && c.Inc != 2 {
+			t.Errorf("%+v", c)
+		}
+	}
+	if _, inc, _, _ := k.Holds("n1"); inc != 2 {
+		t.Errorf("held at %d", inc)
+	}
+}
