A retry budget bounds call-backs where workers go on with what was called off

In the debug logs of calm+mass (60 nodes) tries a request rise from 1.2 to 2.5 within 10 s and reported queues to 15 while the same jobs are called back again and again; the site's workers go on with what was called off, which no setting tells. Ruled out: refusals (they follow the queues), probes (0.03 of G), a restart wrongly seen by probes without a report. At fault: move() in balance.go called back every job that waits, without bound.

Change: a retry budget. Each request earns a tenth of a call-back, a replacement that starts in time earns what its call-back cost, and silent workers are exempt.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,7 +71,7 @@
 	keep := math.Exp(-gap / 4) // a plain average at first, later the last seconds weigh most
 	b.rateN, b.rateT = b.rateN*keep+1, b.rateT*keep+gap
 	b.lastReq, b.taken = now, b.taken+1
-	b.tokens = min(b.tokens+4*look, 16*look) // probes on demand: two looks a job, some saved up
+	b.credit()
 	b.reqs[q.ID] = r
 	b.act.After(r.end-now, q.ID)
 	if b.hold(r); b.doomed(r) {
@@ -112,7 +112,7 @@
 		a.w.heard, a.heard = now, now
 		if a.started == 0 {
 			a.started, a.shareAt = now, now
-			b.started(now - a.sent)
+			b.begun(a)
 			step := math.Copysign(b.quick.Seconds()*8, (now-a.sent).Seconds()-b.delay)
 			b.delay = max(0, b.delay+step) // about the median: a few long waits say little of the next
 		}
@@ -595,7 +595,7 @@
 			b.answer(r)
 			continue
 		}
-		if b.spent(r, 1) {
+		if b.spent(r, 1) || (b.budget < 1 && !silent) {
 			continue
 		}
 		if to, _ := b.pick(r); to != nil {
--- /dev/null
+++ b/balance/budget_test.go
@@ -0,0 +1,54 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// recalls plays jobs that wait at the worker they are sent to, a second apart, with room reported elsewhere, and counts the
+// call-backs. With helps, a job that was called back starts at once where it is sent next.
+func recalls(t *testing.T, jobs int, helps bool) (n int) {
+	s := settings()
+	s.TellsStart, s.TellsQueue, s.SecondCopies = true, true, true
+	b, h := ready(t, s, map[string][2]float64{"w1": {9, 9}, "w2": {9, 9}})
+	b.Accept(time.Second, req("quick", 1, 0))
+	b.Note(1001*time.Millisecond, "quick", 0, Started, 0)
+	b.Done(1002*time.Millisecond, Outcome{Request: "quick", Result: OK, Final: true})
+	for i := range jobs {
+		id, now := fmt.Sprint("r", i), time.Duration(2+i)*time.Second
+		show := func(at time.Duration) {
+			for k, w := range []string{"w1", "w2"} {
+				b.Probed(at, w, OK, &Report{FreeSlots: 9, FreeMemory: 9, Queue: -1, InHand: -1, Mark: uint64(at) + uint64(k)})
+			}
+		}
+		show(now)
+		b.Accept(now, req(id, 1, 0))
+		show(now + 100*time.Millisecond)
+		b.Timer(now+100*time.Millisecond, "")
+		if len(h.take("cancel")) > 0 {
+			n++
+			if helps {
+				b.Note(now+101*time.Millisecond, id, 1, Started, 0)
+			}
+		}
+		for a := range 2 {
+			for _, w := range []string{"w1", "w2"} {
+				b.Done(now+900*time.Millisecond, Outcome{Request: id, Attempt: a, Worker: w, Result: OK, Final: true})
+			}
+		}
+		h.take("")
+	}
+	return n
+}
+
+// Where call-backs do not help they end: workers that go on with what was called off get no more than a share of work on
+// top. Where they help, all of them are made.
+func TestCallBacksThatDoNotHelpEnd(t *testing.T) {
+	if n := recalls(t, 200, false); n < budgetMost || n > budgetMost+200*budgetShare+1 {
+		t.Errorf("%d of 200 jobs are called back in vain", n)
+	}
+	if n := recalls(t, 200, true); n < 195 {
+		t.Errorf("only %d of 200 jobs are called back where that helps", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -111,6 +111,7 @@
 	rateN   float64            // requests of late, older ones weighing less ...
 	rateT   float64            // ... and the seconds in which they came
 	tokens  float64            // probes on demand that may be sent
+	budget  float64            // jobs that may be called back for another attempt: a retry budget
 	fresh   []*worker          // those with fresh reports
 	asked   int                // probes on demand not answered yet
 	askEnd  time.Duration      // until when a dispatch waits for them
@@ -210,9 +211,35 @@
 	b.soon = min(max(b.soon-step, 0), b.s.DialTimeout/4)
 }
 
+// The retry budget: a share of the requests may be called back, and some are saved up. Guards against call-backs that feed
+// themselves: where workers go on with what was called off, each one adds work, which makes further jobs wait.
+const (
+	budgetShare = 0.1
+	budgetMost  = 10
+)
+
+// credit takes account of a request: it earns probes on demand, two looks with some saved up, and a share of a call-back.
+func (b *Balancer) credit() {
+	b.tokens = min(b.tokens+4*look, 16*look)
+	b.budget = min(b.budget+budgetShare, budgetMost)
+}
+
+// begun takes the start of an attempt. One that replaced a called-back one and did not wait has earned what that cost, and
+// the share of one more: where call-backs help, they are not held back.
+func (b *Balancer) begun(a *attempt) {
+	took, n := b.now-a.sent, len(a.r.attempts)
+	if n > 1 && a.r.attempts[n-1] == a && a.r.attempts[n-2].left && took < b.startsBy(a.w) {
+		b.budget = min(b.budget+1+budgetShare, budgetMost)
+	}
+	b.started(took)
+}
+
 // recall gives an attempt up: another one is to replace it. One that has not started counts as later than any, unless its
 // worker is silent, which says nothing of starts.
 func (b *Balancer) recall(a *attempt, silent bool) {
+	if !silent { // a silent worker does no work
+		b.budget--
+	}
 	if a.left = true; a.started == 0 && !silent {
 		b.started(math.MaxInt64)
 	}
@@ -302,7 +329,7 @@
 		s: s, act: act, rnd: seed, byID: map[string]*worker{}, reqs: map[string]*request{},
 		slots: map[string]float64{}, run: make([]float64, len(s.Classes)),
 		patient: make([]time.Duration, len(s.Classes)), pace: s.DialTimeout, quick: s.DialTimeout,
-		retryAt: -1, usual: 1,
+		retryAt: -1, usual: 1, budget: 1,
 	}
 	for i, c := range s.Classes {
 		b.run[i] = c.Aim.Seconds()
