Right before a request's first byte the try is looked at again, and its connection too

Cause, from reading (send/exchange.go run, pool.go serve): after a dial, which may take 1.5 s, only the try's own end was looked at. A client that had left was not seen where settings allow no cancelling; nor a worker that drains, nor a repeat's window, which counts to its last byte; a call-off took effect a moment late (the context's own goroutine). A connection that stood idle was written to though its worker had ended it, and what had come on it just then was taken for the next answer: a stray 503 with X-Not-Run made a job that ran count as one that never did.

Change: exchange.mayBegin asks once more; what is not wanted ends as Moot or ConnectFailed (surely never ran), and a late connection is kept for others. Resting connections are read under a lock that a look shares (look.go), so that bytes are either in the system or marked. Connections to a process before a restart are closed when the list tells. Repeats carry the end of their window (balance.RepeatUntil), also as write deadline.

--- a/balance/api.go
+++ b/balance/api.go
@@ -162,7 +162,7 @@
 )
 
 // Actions is what a Balancer asks its host to do. Calls are made only from inside the Balancer's
-// event methods; an implementation must not call the Balancer back from within them.
+// event methods; an implementation must not call those from within them.
 type Actions interface {
 	// Send starts the next attempt of a request.
 	Send(request, worker string)
--- a/balance/state.go
+++ b/balance/state.go
@@ -260,6 +260,20 @@
 	return nil
 }
 
+// RepeatUntil is the time by which the last byte of a repeat must be written to its worker: workers drop repeats for the
+// class's window only, from the first send that may have run. bound is false where there is no such time.
+func (b *Balancer) RepeatUntil(id string) (until time.Duration, bound bool) {
+	r := b.reqs[id]
+	if r == nil || r.c.Effect != Keyed {
+		return 0, false
+	}
+	first := r.maybeRan()
+	if first == nil || first == r.attempts[len(r.attempts)-1] { // it is no repeat
+		return 0, false
+	}
+	return first.sent + r.c.Window, true
+}
+
 // waiting reports whether an attempt that is not given up on is out.
 func (r *request) waiting() bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out && !a.left })
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -17,7 +17,7 @@
 
 // Sender carries tries and probes to peers. Its methods start work and return at once.
 type Sender interface {
-	Try(c *request.Context, attempt int, peer string) (cancel func())
+	Try(c *request.Context, attempt int, peer string, by time.Time) (cancel func())
 	Probe(peer string)
 	Update(g config.Group)
 }
@@ -398,7 +398,11 @@
 		e.cancels = append(e.cancels, func() {})
 		r.Ended(balance.Outcome{Request: id, Attempt: attempt, Worker: peer, Result: balance.Moot}, "")
 	default:
-		e.cancels = append(e.cancels, r.sender.Try(e.c, attempt, peer))
+		var by time.Time
+		if until, bound := r.b.RepeatUntil(id); bound {
+			by = r.start.Add(until - time.Duration(r.start.UnixNano()))
+		}
+		e.cancels = append(e.cancels, r.sender.Try(e.c, attempt, peer, by))
 	}
 }
 
--- a/internal/send/detach.go
+++ b/internal/send/detach.go
@@ -17,7 +17,8 @@
 // process, which reads the answer from its start. One that is long by now stays: it is about to end.
 type tap struct {
 	raw  net.Conn
-	most int // bytes kept
+	in   io.Reader // what raw is read by
+	most int       // bytes kept
 
 	mu   sync.Mutex
 	seen []byte
@@ -35,7 +36,7 @@
 // Read implements io.Reader. The reader gives the connection away itself: no byte can be lost in between.
 func (t *tap) Read(p []byte) (int, error) {
 	for {
-		n, err := t.raw.Read(p)
+		n, err := t.in.Read(p)
 		t.mu.Lock()
 		if n == 0 && t.want != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 			t.raw.SetReadDeadline(time.Time{})
@@ -139,7 +140,7 @@
 // Adopt goes on with a try that another process has begun: its answer is read from its start.
 func (s *Stage) Adopt(c *request.Context, attempt int, peer string, d Detached) (cancel func()) {
 	x := s.exchange(c, attempt, peer)
-	x.written = true
+	x.begun, x.written = true, true
 	x.begin(c.Deadline)
 	s.pool.adopt(x, d)
 	return func() { x.cancel(errCancelled) }
--- a/internal/send/exchange.go
+++ b/internal/send/exchange.go
@@ -24,9 +24,12 @@
 	read   func(*http.Response) // reads the answer and calls end
 	done   func(ending)         // told the end, once
 	cancel context.CancelCauseFunc
+	wanted func() bool // asked right before the first byte; nil: it is wanted in any case
+	by     time.Time   // the last byte must be written by then; zero: no bound but the deadline
 
 	mu      sync.Mutex
 	conn    *conn
+	begun   bool // the first byte may have been written
 	written bool // the last byte is on its way
 	broke   bool // the connection ended before that was known
 	ended   bool
@@ -60,26 +63,46 @@
 
 // run sends the request over a connection of the pool, and reports whether it was written whole. The connection's
 // reader ends the exchange.
-func (x *exchange) run(ctx context.Context, p *pool, at place, head, body []byte) (whole bool) {
-	c, err := p.open(ctx, x, at)
-	if err != nil {
-		if errors.Is(err, errFull) {
-			x.end(ending{result: balance.Moot})
-		} else if ctx.Err() == nil { // else the context's end has told already
+func (x *exchange) run(ctx context.Context, p *pool, at place, head func() []byte, body []byte) (whole bool) {
+	var c *conn
+	for {
+		var err error
+		if c, err = p.open(ctx, x, at); err != nil {
+			if errors.Is(err, errFull) {
+				x.end(ending{result: balance.Moot})
+			} else if ctx.Err() == nil { // else the context's end has told already
+				x.end(ending{result: balance.ConnectFailed})
+			}
+			return false
+		}
+		may, usable := x.mayBegin(ctx, c)
+		if may {
+			break
+		}
+		if usable { // a late connection is of use to others
+			if !p.put(c) {
+				c.Close()
+			}
+			if ctx.Err() == nil { // else the context's end tells
+				x.end(ending{result: balance.Moot})
+			}
+			return false
+		}
+		c.Close()
+		if at.c == nil { // a peer that speaks first, or closes what it has just accepted
 			x.end(ending{result: balance.ConnectFailed})
+			return false
 		}
-		return false
+		at = p.reserve(x) // nothing was written: this is no second copy
 	}
-	x.mu.Lock()
-	x.conn = c
-	ended := x.ended
-	x.mu.Unlock()
-	if ended {
-		c.Close()
-		return false
+	if !x.by.IsZero() {
+		c.SetWriteDeadline(x.by)
 	}
 	// One call writes both, so that the body is not copied to stand behind its head.
-	_, err = (&net.Buffers{head, body}).WriteTo(c.Conn)
+	_, err := (&net.Buffers{head(), body}).WriteTo(c.Conn)
+	if !x.by.IsZero() {
+		c.SetWriteDeadline(time.Time{})
+	}
 	x.mu.Lock()
 	x.written = err == nil
 	broke := x.broke
@@ -93,6 +116,37 @@
 	return err == nil
 }
 
+// mayBegin reports whether the first byte may be written to a connection, and if not, whether the connection is still of
+// use. From the yes on the exchange counts as begun. Guards against what has crossed since the exchange was decided, a dial
+// above all: the client has left, the peer drains, the time for a repeat is over, the try was given up, or the peer has
+// closed a connection that stood idle, or spoken on it, which must not be taken for an answer.
+func (x *exchange) mayBegin(ctx context.Context, c *conn) (may, usable bool) {
+	quiet := c.look.silent()
+	// A call-off has reached the context before it has reached the exchange.
+	wanted := ctx.Err() == nil && (x.wanted == nil || x.wanted()) && (x.by.IsZero() || time.Now().Before(x.by))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c.stale || !quiet {
+		return false, false
+	}
+	if x.ended || !wanted {
+		return false, true
+	}
+	x.conn, x.begun = c, true
+	return true, true
+}
+
+// unasked reports whether what has come on a connection came before the exchange has begun there, if it ever did: it is no
+// answer to it. The connection is of no use then.
+func (x *exchange) unasked(c *conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.begun || x.conn != c {
+		c.stale = true
+	}
+	return c.stale
+}
+
 // broken takes the end of the connection. While the request is being written, its writer tells what that
 // means: a request whose last byte was never written has not run.
 func (x *exchange) broken() {
@@ -135,6 +189,9 @@
 	first := !x.ended
 	if first {
 		x.ended, x.called = true, called
+		if called && !x.begun && x.wanted != nil { // and it never will: it surely has not run
+			e.result = map[bool]balance.Result{true: balance.ConnectFailed, false: balance.Moot}[e.result == balance.TimedOut]
+		}
 	}
 	x.mu.Unlock()
 	if first {
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -27,10 +27,13 @@
 	pool  *pool
 	peer  string
 	addr  string
+	start time.Duration // of the process behind it, as the list tells it
 	limit *io.LimitedReader
 	r     *bufio.Reader
 	tap   *tap        // nil where tries do not move
 	use   *exchange   // the exchange in hand, nil while idle; guarded by pool.mu
+	stale bool        // it ended, or spoke, before the exchange in hand began; guarded by that
+	look  *look       // what it is read by; nil where it is no socket
 	timer *time.Timer // closes the connection when it has been idle too long
 }
 
@@ -39,37 +42,45 @@
 	limits config.Limits
 	mu     sync.Mutex
 	dial   machine.Dial
-	addrs  map[string]string
-	idle   []*conn // of all peers, the newest last
+	peers  map[string]config.Peer // those that the list names
+	idle   []*conn                // of all peers, the newest last
 	all    map[*conn]bool
 	count  int // connections that are open or coming up
 	closed bool
+	hook   func()               // for tests: see look
 	tries  map[string]*exchange // the latest of each request, where they may go to another process; else nil
 }
 
 func newPool(l config.Limits, d machine.Dial) *pool {
-	return &pool{limits: l, dial: d, addrs: map[string]string{}, all: map[*conn]bool{}}
+	return &pool{limits: l, dial: d, peers: map[string]config.Peer{}, all: map[*conn]bool{}}
 }
 
-// update keeps the peers' addresses; idle connections to a peer that is gone or has moved are closed.
+// update keeps the peers that the list names; idle connections to one that is gone, has moved or has started anew are closed.
 func (p *pool) update(g config.Group) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g.Full {
-		clear(p.addrs)
+		clear(p.peers)
 	}
 	for _, peer := range g.Peers {
-		if delete(p.addrs, peer.ID); peer.State != balance.Gone {
-			p.addrs[peer.ID] = peer.Addr
+		if delete(p.peers, peer.ID); peer.State != balance.Gone {
+			p.peers[peer.ID] = peer
 		}
 	}
 	for _, c := range slices.Clone(p.idle) {
-		if p.addrs[c.peer] != c.addr {
+		if at := p.peers[c.peer]; at.Addr != c.addr || at.Started > c.start {
 			p.remove(c)
 		}
 	}
 }
 
+// serves reports whether a peer takes new jobs, by the list.
+func (p *pool) serves(peer string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers[peer].State == balance.Ready
+}
+
 // resize sets how many connections there may be; idle ones past it are closed, the oldest first.
 func (p *pool) resize(n int) {
 	p.mu.Lock()
@@ -82,9 +93,10 @@
 
 // place is what an exchange has been given in the pool: an idle connection, or leave to open one.
 type place struct {
-	c    *conn
-	addr string
-	err  error
+	c     *conn
+	addr  string
+	start time.Duration // of the peer's process
+	err   error
 }
 
 // reserve gives an exchange the newest idle connection to its peer, or the right to a new one. It does not wait, so
@@ -110,7 +122,7 @@
 		p.remove(p.idle[0])
 	}
 	p.count++
-	return place{addr: p.addrs[x.peer]}
+	return place{addr: p.peers[x.peer].Addr, start: p.peers[x.peer].Started}
 }
 
 // open returns the connection of a place, a new one where it has none yet.
@@ -130,6 +142,7 @@
 		return nil, err
 	}
 	c := p.conn(raw, x, at.addr)
+	c.start = at.start
 	go c.serve()
 	return c, nil
 }
@@ -138,9 +151,13 @@
 func (p *pool) conn(raw net.Conn, x *exchange, addr string) *conn {
 	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: addr, use: x}
 	p.all[c] = true
-	c.limit = &io.LimitedReader{R: raw, N: math.MaxInt64}
+	in := io.Reader(raw)
+	if c.look = newLook(raw); c.look != nil {
+		in, c.look.hook = c.look, p.hook
+	}
+	c.limit = &io.LimitedReader{R: in, N: math.MaxInt64}
 	if p.tries != nil {
-		c.tap = &tap{raw: raw, most: p.limits.SeenBytes}
+		c.tap = &tap{raw: raw, in: in, most: p.limits.SeenBytes}
 		c.limit.R = c.tap
 	}
 	c.r = bufio.NewReaderSize(c.limit, 4<<10)
@@ -197,9 +214,10 @@
 	if c.tap != nil {
 		c.tap.next()
 	}
+	c.look.next()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.addrs[c.peer] != c.addr || p.closed {
+	if p.peers[c.peer].Addr != c.addr || p.closed {
 		return false
 	}
 	c.use = nil
@@ -237,7 +255,7 @@
 	for {
 		_, err := c.r.Peek(1)
 		x := c.using()
-		if x == nil { // closed while idle, or it speaks unasked
+		if x == nil || x.unasked(c) { // closed while idle, or it speaks unasked
 			return
 		}
 		if err != nil || !c.answer(x) {
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -55,12 +55,21 @@
 // Update takes news of the upstream group.
 func (s *Stage) Update(g config.Group) { s.pool.update(g) }
 
-// Try starts a try of a request at a peer.
-func (s *Stage) Try(c *request.Context, attempt int, peer string) (cancel func()) {
+// Try starts a try of a request at a peer. Its last byte must be written by the given time; zero: there is no such bound.
+// What is not wanted any more once a connection is up is not written.
+func (s *Stage) Try(c *request.Context, attempt int, peer string, by time.Time) (cancel func()) {
 	x := s.exchange(c, attempt, peer)
+	x.by, x.wanted = by, func() bool {
+		select {
+		case <-c.Ended():
+			return false
+		default:
+			return s.pool.serves(peer)
+		}
+	}
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
 	go func() {
-		if x.run(ctx, s.pool, at, head(c), c.Body) {
+		if x.run(ctx, s.pool, at, func() []byte { return head(c) }, c.Body) {
 			s.events.Written(c)
 		}
 	}()
@@ -199,7 +208,7 @@
 	x.read = func(resp *http.Response) { s.load(x, resp) }
 	x.done = func(e ending) { s.events.Probed(peer, e.result, e.report) }
 	ctx, at := x.begin(time.Now().Add(s.limits.ProbeWait)), s.pool.reserve(x)
-	go x.run(ctx, s.pool, at, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer), nil)
+	go x.run(ctx, s.pool, at, func() []byte { return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.path, peer) }, nil)
 }
 
 // load reads the answer to a probe.
