--- a/balance/balance.go
+++ b/balance/balance.go
@@ -276,7 +276,7 @@
 	if ago := w.seen(rep.Mark, b.now); ago > 0 {
 		b.past(ago)
 	}
-	w.reported, w.rep = true, *rep
+	b.take(w, rep)
 	w.measured = b.now - b.pace // a report is older than its arrival, by about as much as renewals are apart
 	w.capSlots = max(w.capSlots, math.Round(rep.FreeSlots))
 	w.capMem = max(w.capMem, rep.FreeMemory)
--- a/balance/state.go
+++ b/balance/state.go
@@ -112,6 +112,7 @@
 	rateT   float64            // ... and the seconds in which they came
 	tokens  float64            // probes on demand that may be sent
 	budget  float64            // jobs that may be called back for another attempt: a retry budget
+	queues  float64            // jobs that wait at a worker, by the reports of late
 	fresh   []*worker          // those with fresh reports
 	asked   int                // probes on demand not answered yet
 	askEnd  time.Duration      // until when a dispatch waits for them
@@ -214,10 +215,16 @@
 // The retry budget: a share of the requests may be called back, and some are saved up. Guards against call-backs that feed
 // themselves: where workers go on with what was called off, each one adds work, which makes further jobs wait.
 const (
-	budgetShare = 0.1
+	budgetShare = 0.07
 	budgetMost  = 10
 )
 
+// take keeps a worker's report.
+func (b *Balancer) take(w *worker, rep *Report) {
+	w.reported, w.rep = true, *rep
+	b.queues += 0.1 * (max(b.queued(w), 0) - b.queues)
+}
+
 // credit takes account of a request: it earns probes on demand, two looks with some saved up, and a share of a call-back.
 func (b *Balancer) credit() {
 	b.tokens = min(b.tokens+4*look, 16*look)
@@ -225,11 +232,12 @@
 }
 
 // begun takes the start of an attempt. One that replaced a called-back one and did not wait has earned what that cost, and
-// the share of one more: where call-backs help, they are not held back.
+// the share of one more: where call-backs help, they are not held back. They do not help where queues stay long all the same:
+// what is called off there runs on, or all workers are jammed.
 func (b *Balancer) begun(a *attempt) {
 	took, n := b.now-a.sent, len(a.r.attempts)
 	if n > 1 && a.r.attempts[n-1] == a && a.r.attempts[n-2].left && took < b.startsBy(a.w) {
-		b.budget = min(b.budget+1+budgetShare, budgetMost)
+		b.budget = min(b.budget+(1+budgetShare)/(1+b.queues/2), budgetMost)
 	}
 	b.started(took)
 }
