--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,12 +29,12 @@
 		b.lastReq = now // rates count from here
 	}
 	switch kind {
-	case ListFailed: // jittered; soon at first (silence may hide a drain), longer the more balancers ask
-		b.retryAt = now + time.Duration(float64(b.s.DialTimeout)*float64(max(2, b.misses))*2*b.chance())
-		b.misses = min(2*b.misses+2+b.s.Balancers/4, max(16, b.s.Balancers))
+	case ListFailed: // jittered, and soon: silence may hide a drain
+		b.retryAt = now + b.backoff()
+		b.misses++
 	case ListMoved: // failures so far say nothing of the new place
 		b.misses, b.retryAt = 0, -1
-		b.act.Watch()
+		b.watch()
 	case ListFull, ListCached:
 		for _, w := range b.workers {
 			w.told = false
@@ -48,7 +48,7 @@
 		if kind == ListFull || kind == ListChanges {
 			b.misses, b.retryAt = 0, -1
 		} else if kind == ListCached && b.s.MustAsk { // a restarted node knows only a stale list: ask at once
-			b.act.Watch()
+			b.watch()
 		}
 	}
 	b.tend()
@@ -652,7 +652,7 @@
 	b.dispatch()
 	if b.retryAt >= 0 && b.now >= b.retryAt {
 		b.retryAt = -1
-		b.act.Watch()
+		b.watch()
 	}
 	if b.now < b.wakeAt {
 		return
--- a/balance/state.go
+++ b/balance/state.go
@@ -79,44 +79,45 @@
 
 // Balancer decides for one dispatching node.
 type Balancer struct {
-	s       Settings
-	act     Actions
-	rnd     uint64
-	now     time.Duration
-	byID    map[string]*worker
-	workers []*worker // those the list names, in its order
-	reqs    map[string]*request
-	held    []*request
-	mute    int             // probes failed in a row, whichever the worker
-	okAt    time.Duration   // when a probe was last answered
-	yielded bool            // another process has its place
-	endsAt  time.Duration   // when this balancer is stopped; 0 if that is not known
-	waits   []*attempt      // sent and not ended
-	run     []float64       // learned running time by class, seconds
-	patient []time.Duration // longest patience seen by class: that of a first try
-	pace    time.Duration   // between probes of one worker; follows the pace of fresh reports
-	wakeAt  time.Duration
-	retryAt time.Duration // when to ask for the list again
-	misses  int           // failed calls for the list in a row
-	lastReq time.Duration
-	behind  time.Duration      // by how much reports repeat the past
-	repeats int                // reports in a row that agree on it
-	blindTo time.Duration      // until then reports are not used as room
-	delay   float64            // median seconds from a send to its start note, of late
-	tight   float64            // seconds of the tightest aim
-	quick   time.Duration      // the shortest time from a send to its start note
-	soon    time.Duration      // four in five jobs start sooner; what another zone may take at most
-	usual   float64            // pace of the workers that have told it, on average
-	taken   int                // requests so far
-	rateN   float64            // requests of late, older ones weighing less ...
-	rateT   float64            // ... and the seconds in which they came
-	tokens  float64            // probes on demand that may be sent
-	budget  float64            // jobs that may be called back for another attempt: a retry budget
-	queues  float64            // jobs that wait at a worker, by the reports of late
-	fresh   []*worker          // those with fresh reports
-	asked   int                // probes on demand not answered yet
-	askEnd  time.Duration      // until when a dispatch waits for them
-	slots   map[string]float64 // the most slots seen free at a worker of each kind
+	s        Settings
+	act      Actions
+	rnd      uint64
+	now      time.Duration
+	byID     map[string]*worker
+	workers  []*worker // those the list names, in its order
+	reqs     map[string]*request
+	held     []*request
+	mute     int             // probes failed in a row, whichever the worker
+	okAt     time.Duration   // when a probe was last answered
+	yielded  bool            // another process has its place
+	endsAt   time.Duration   // when this balancer is stopped; 0 if that is not known
+	waits    []*attempt      // sent and not ended
+	run      []float64       // learned running time by class, seconds
+	patient  []time.Duration // longest patience seen by class: that of a first try
+	pace     time.Duration   // between probes of one worker; follows the pace of fresh reports
+	wakeAt   time.Duration
+	retryAt  time.Duration // when to ask for the list again
+	misses   int           // failed calls for the list in a row
+	calledAt time.Duration // when the list was last asked for
+	lastReq  time.Duration
+	behind   time.Duration      // by how much reports repeat the past
+	repeats  int                // reports in a row that agree on it
+	blindTo  time.Duration      // until then reports are not used as room
+	delay    float64            // median seconds from a send to its start note, of late
+	tight    float64            // seconds of the tightest aim
+	quick    time.Duration      // the shortest time from a send to its start note
+	soon     time.Duration      // four in five jobs start sooner; what another zone may take at most
+	usual    float64            // pace of the workers that have told it, on average
+	taken    int                // requests so far
+	rateN    float64            // requests of late, older ones weighing less ...
+	rateT    float64            // ... and the seconds in which they came
+	tokens   float64            // probes on demand that may be sent
+	budget   float64            // jobs that may be called back for another attempt: a retry budget
+	queues   float64            // jobs that wait at a worker, by the reports of late
+	fresh    []*worker          // those with fresh reports
+	asked    int                // probes on demand not answered yet
+	askEnd   time.Duration      // until when a dispatch waits for them
+	slots    map[string]float64 // the most slots seen free at a worker of each kind
 }
 
 // release takes the attempt's charge off.
@@ -225,6 +226,32 @@
 	b.queues += 0.1 * (max(b.queued(w), 0) - b.queues)
 }
 
+// How soon the list is asked for again. That hangs on neither the number of balancers nor the time that a dial may take: what
+// discovery has to tell counts as told six seconds after it could be reached. A call that is given up on, the pause after it
+// and the next call's answer have to fit in there, so that one call begins at most listEvery after the one before.
+const (
+	firstBackoff = 600 * time.Millisecond // silence may hide a drain
+	laterBackoff = 1600 * time.Millisecond
+	leastBackoff = 400 * time.Millisecond
+	listEvery    = 4400 * time.Millisecond
+)
+
+// backoff draws the pause before the list is asked for again, longer with each failure. It is spread widely, which guards
+// against balancers that lost their watch together and would call together.
+func (b *Balancer) backoff() time.Duration {
+	if b.misses == 0 {
+		return time.Duration(float64(firstBackoff) * b.chance())
+	}
+	most := max(min(laterBackoff<<min(b.misses-1, 4), listEvery-(b.now-b.calledAt)), leastBackoff)
+	return time.Duration(float64(most) * (0.25 + 0.75*b.chance()))
+}
+
+// watch asks for the list.
+func (b *Balancer) watch() {
+	b.calledAt = b.now
+	b.act.Watch()
+}
+
 // credit takes account of a request: it earns probes on demand, two looks with some saved up, and a share of a call-back.
 func (b *Balancer) credit() {
 	b.tokens = min(b.tokens+4*look, 16*look)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -41,6 +41,7 @@
 
 	// Discovery.
 	ListWait    time.Duration // for a call to be answered
+	ListFirst   time.Duration // for the first line of a watch, from the call's start
 	ListSilence time.Duration // a watch that brings no line for this long has failed
 	ListBytes   int           // of one line, or of a whole list
 
@@ -98,7 +99,7 @@
 		MaxPatience: time.Hour, AnswerMargin: 5 * time.Millisecond, RefusedFor: 250 * time.Millisecond,
 		DialWait: s.Balance.DialTimeout, ProbeWait: 200 * time.Millisecond, TailWait: time.Second,
 		LineBytes: 512 << 10, ReportBytes: 4 << 10,
-		ListWait: 3 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20,
+		ListWait: 3 * time.Second, ListFirst: 4 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20,
 		// A SIGKILL may follow 3.7 s after SIGTERM; what comes later than 0.7 s must be answered before.
 		DrainEarly: 700 * time.Millisecond, DrainAccept: time.Second, DrainIdle: 2 * time.Second,
 		DrainLate: 3500 * time.Millisecond,
