Clients that leave are seen in every state; closes linger after an answer; drains fit the settings

Cause, from reading and tests seen to fail without the mend: net/http's watch for a client that leaves ends at the first byte behind its request (takein/conn.go Read), so a client that had sent more was never seen to leave. The server closes over unread bytes, which resets the connection under an answer (Conn.Close). connections.evict closed idle connections whose request had just been read. A drain counted on a longest deadline of 3 s: with shorter ones SIGKILL comes first (0.7 s after the longest deadline), and clients that rest were ended later than that; a request after its last moment failed instead of being refused. entrance.take ended for good when descriptors ran out. A connection in a hand-over whose client floods was read no more, and its leaving not seen.

Change: what follows an open request is read, 16 KiB at most, until its answer begins; lingering close for 0.5 s, counted among the connections and the first to be evicted; reads are told under a lock (internal/peek), so that an eviction sees what was read; DrainLate, DrainAccept and DrainIdle follow the longest deadline, also after a SIGHUP; short of descriptors the entrance pauses.

Ruled out on the way: the cost test answered 400 to a large body in the first form of this change, since the client's next request met the server's watch; that is now a test (TestNextRequestMeetsTheWatch).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -78,6 +78,9 @@
 	if s.open[c.ID] != nil {
 		return refuse(c, request.Malformed, "X-Request-Id: in use by an open request")
 	}
+	if !s.end.IsZero() && time.Until(s.end) <= s.limits.AnswerMargin { // no time is left to try it
+		return refuse(c, request.Refused, "the node ends")
+	}
 	if len(s.open) >= s.limits.OpenRequests {
 		c.Finish(request.Answer{Verdict: request.Refused, Reason: "too many open requests", Wait: s.limits.RefusedFor})
 		return false
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/settings"
 )
 
 func init() { flag.Set("rapid.seed", "1") } // the same cases every time
@@ -116,3 +117,26 @@
 		}
 	})
 }
+
+// A drain fits in before a SIGKILL, which may follow 0.7 s after the longest deadline, or 3.7 s after SIGTERM where that is
+// sooner; and clients, workers and what is kept back never share a descriptor.
+func TestDrainAndDescriptorsFit(t *testing.T) {
+	for _, deadline := range []time.Duration{200 * time.Millisecond, time.Second, 1800 * time.Millisecond, 3 * time.Second, time.Minute} {
+		for _, sockets := range []int{96, 256, 300, 1024} {
+			f := file{}
+			f.Limits.Sockets = sockets
+			s := settings.Settings{Balance: balance.Settings{Classes: []balance.Class{{Deadline: deadline / 2}, {Deadline: deadline}}}}
+			l, err := f.limits(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			kill := min(deadline, 3*time.Second) + 700*time.Millisecond
+			if l.DrainLate >= kill || l.DrainAccept < 400*time.Millisecond || l.DrainAccept+l.DrainIdle > l.DrainLate || l.DrainLate+l.DrainLast >= kill {
+				t.Errorf("longest deadline %v: %v %v %v", deadline, l.DrainAccept, l.DrainIdle, l.DrainLate)
+			}
+			if l.ClientConns+l.SpareConns+l.PeerConns+reserved > int(sockets) || l.ClientConns < 1 || l.PeerConns < 1 {
+				t.Errorf("%d descriptors: %d, %d and %d", sockets, l.ClientConns, l.SpareConns, l.PeerConns)
+			}
+		}
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -26,6 +26,7 @@
 	BodyWait     time.Duration // for a request's body, from the end of its head
 	IdleWait     time.Duration // a client connection idle between requests for this long is closed
 	WriteWait    time.Duration // for a client to take its answer
+	Linger       time.Duration // for a client to end its sending, after an answer with which its connection ends
 	MaxPatience  time.Duration // no deadline is further off
 	AnswerMargin time.Duration // the backstop answers this long before the deadline
 	RefusedFor   time.Duration // what a request beyond OpenRequests is told to wait
@@ -51,6 +52,7 @@
 	DrainEarly  time.Duration // requests that come so soon keep their deadline
 	DrainLate   time.Duration // requests that come after DrainEarly are answered by then
 	DrainTotal  time.Duration // the node ends by then
+	DrainLast   time.Duration // from DrainLate on a client connection idle for so long is closed
 
 	// Sending clients away for a while, counted from the call.
 	AwayAfter time.Duration // by then no new clients come: those that are idle are sent away
@@ -95,14 +97,12 @@
 func (f *file) limits(s settings.Settings) (Limits, error) {
 	l := Limits{
 		HeaderBytes: 16 << 10, HeadSlack: 16 << 10, BodyBytes: 64 << 10, SilentFor: 100 * time.Millisecond, HeadWait: 1500 * time.Millisecond, BodyWait: time.Second,
-		IdleWait: 5 * time.Minute, WriteWait: 5 * time.Second,
+		IdleWait: 5 * time.Minute, WriteWait: 5 * time.Second, Linger: 500 * time.Millisecond,
 		MaxPatience: time.Hour, AnswerMargin: 5 * time.Millisecond, RefusedFor: 250 * time.Millisecond,
 		DialWait: s.Balance.DialTimeout, ProbeWait: 200 * time.Millisecond, TailWait: time.Second,
 		LineBytes: 512 << 10, ReportBytes: 4 << 10,
 		ListWait: 3 * time.Second, ListFirst: 4 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20,
-		// A SIGKILL may follow 3.7 s after SIGTERM; what comes later than 0.7 s must be answered before.
-		DrainEarly: 700 * time.Millisecond, DrainAccept: time.Second, DrainIdle: 2 * time.Second,
-		DrainLate: 3500 * time.Millisecond,
+		DrainEarly: 700 * time.Millisecond, DrainLast: 50 * time.Millisecond,
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
 		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second, ControlBody: 64 << 10, CouncilCall: 4 * time.Second, CouncilWait: 2 * time.Second,
 		SeenBytes: 4 << 10, DetachWait: 20 * time.Millisecond, MoveAgain: 20 * time.Millisecond,
@@ -149,6 +149,11 @@
 	for _, c := range s.Balance.Classes { // no client waits longer than its class's deadline
 		l.DrainTotal = max(l.DrainTotal, c.Deadline)
 	}
+	// A SIGKILL may follow 0.7 s after the longest deadline, or after 3 s where that is longer; what comes later than 0.7 s
+	// after SIGTERM must be answered before, and no connection may be open that a client could still send on.
+	l.DrainLate = min(l.DrainTotal, 3*time.Second) + 500*time.Millisecond
+	l.DrainAccept = min(time.Second, l.DrainLate*2/3)
+	l.DrainIdle = min(2*time.Second, l.DrainLate-l.DrainAccept)
 	l.DrainTotal = max(l.DrainTotal+l.DrainAccept, l.DrainLate)
 	return l, nil
 }
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := net.Conn(takein.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack))
+	conn := net.Conn(takein.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack, l.c.limits.Linger))
 	for {
 		l.c.mu.Lock()
 		n := len(l.c.open)
@@ -94,28 +94,52 @@
 // returns after what time the oldest one without a request may give way; 0 if all carry requests. It may not at
 // once: in a rush of connections the request of a usual client has come, but not been read yet.
 func (c *connections) evict() (gone bool, young time.Duration) {
-	var least net.Conn
-	for conn, s := range c.open {
-		if s.state == http.StateActive {
-			continue
-		}
-		if left := c.limits.SilentFor - time.Since(s.since); s.state == http.StateNew && left > 0 {
-			if young == 0 || left < young {
-				young = left
+	for {
+		var least net.Conn
+		for conn, s := range c.open {
+			if s.state == http.StateActive {
+				continue
 			}
-			continue
+			if left := c.limits.SilentFor - time.Since(s.since); s.state == http.StateNew && left > 0 {
+				if young == 0 || left < young {
+					young = left
+				}
+				continue
+			}
+			if l := c.open[least]; least == nil || rank[s.state] < rank[l.state] || (s.state == l.state && s.longer(l)) {
+				least = conn
+			}
+		}
+		if least == nil {
+			return false, young
 		}
-		if l := c.open[least]; least == nil || (s.state != l.state && s.state == http.StateNew) ||
-			(s.state == l.state && s.longer(l)) {
-			least = conn
+		s := c.open[least]
+		own := inner(least)
+		switch {
+		case own == nil:
+			least.Close()
+		case s.state == http.StateClosed:
+			own.Cut()
+		case !own.Evict(): // its request has been read, the server is about to say so
+			s.state = http.StateActive
+			c.open[least] = s
+			continue
 		}
+		delete(c.open, least)
+		return true, 0
 	}
-	if least == nil {
-		return false, young
+}
+
+// rank orders the states by how little a connection is missed: one that is closed and lingers least of all.
+var rank = map[http.ConnState]int{http.StateClosed: 0, http.StateNew: 1, http.StateIdle: 2}
+
+// inner returns the connection that the server reads, nil where it is none of ours.
+func inner(conn net.Conn) *takein.Conn {
+	if s, ok := conn.(spare); ok {
+		conn = s.Conn
 	}
-	delete(c.open, least)
-	least.Close()
-	return true, 0
+	own, _ := conn.(*takein.Conn)
+	return own
 }
 
 // note is the server's ConnState hook.
@@ -128,6 +152,11 @@
 	}
 	switch state {
 	case http.StateHijacked, http.StateClosed:
+		own := inner(conn)
+		if state == http.StateClosed && own != nil && own.Lingers(func() { c.lingered(conn) }) {
+			c.open[conn] = stand{state, time.Now(), s.nth} // it still holds a descriptor
+			break
+		}
 		delete(c.open, conn)
 	case http.StateNew: // counted when it was accepted
 		return
@@ -145,6 +174,17 @@
 	}
 }
 
+// lingered takes the end of a lingering close.
+func (c *connections) lingered(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+	select {
+	case c.room <- struct{}{}:
+	default:
+	}
+}
+
 // pass has a connection given away while it is idle, and no longer.
 func pass(conn net.Conn, state http.ConnState, give func(net.Conn)) {
 	if own, ok := conn.(*takein.Conn); ok && state == http.StateActive {
@@ -160,6 +200,9 @@
 	defer c.mu.Unlock()
 	c.give = give
 	for conn, s := range c.open {
+		if s.state == http.StateClosed {
+			continue
+		}
 		if give == nil {
 			s.state = http.StateActive
 		}
@@ -205,7 +248,7 @@
 		if s.state == http.StateNew { // whoever has just come is heard
 			wait = max(wait, c.limits.SilentFor)
 		}
-		if s.state != http.StateActive && time.Since(s.since) >= wait {
+		if s.state != http.StateActive && s.state != http.StateClosed && time.Since(s.since) >= wait {
 			if own, ok := conn.(*takein.Conn); ok {
 				own.Give(func(c net.Conn) { c.Close() })
 			} else {
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"swiftdeal/internal/config"
+)
+
+const ask = "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
+
+func (w *world) dial(t *testing.T) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// A client that has sent more behind its request, and leaves, has its job called off like any other.
+func TestClientLeavesBehindMoreBytes(t *testing.T) {
+	w := start(t, nil)
+	for name, leave := range map[string]func(*net.TCPConn) error{"closes": (*net.TCPConn).Close, "half-closes": (*net.TCPConn).CloseWrite} {
+		c := w.dial(t)
+		fmt.Fprintf(c, ask+"POST /job", "a")
+		<-w.jobs
+		leave(c)
+		<-w.left
+		if name == "half-closes" {
+			if got, _ := io.ReadAll(c); len(got) != 0 {
+				t.Errorf("answered %q", got)
+			}
+		}
+	}
+}
+
+// A request that comes on an open connection once the drain has no time left is refused at once: it never ran, and a new try
+// is harmless. A request that came before is answered, and its connection ends.
+func TestRequestMeetsTheEndOfADrain(t *testing.T) {
+	w := start(t, func(l *config.Limits) {
+		l.DrainIdle, l.DrainLast, l.DrainTotal, l.DrainLate = time.Hour, time.Hour, time.Hour, 0
+	})
+	open := w.dial(t)
+	in := bufio.NewReader(open)
+	fmt.Fprintf(open, ask, "long-before")
+	<-w.jobs
+	w.stop()
+	late := w.dial(t)
+	for { // until the drain has come to its end
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			break
+		}
+		c.Close()
+	}
+	fmt.Fprintf(late, ask, "late")
+	resp, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("late: %v %v", resp, err)
+	}
+	w.long <- "result"
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("before: %v %v", resp, err)
+	}
+	open.Close()
+	late.Close()
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+	if len(w.jobs) > 0 {
+		t.Errorf("sent on: %s", <-w.jobs)
+	}
+}
+
+// Clients that rest until the node ends them are ended by the drain, before it may be killed.
+func TestRestingClientsAreEnded(t *testing.T) {
+	w := start(t, func(l *config.Limits) {
+		l.DrainIdle, l.DrainLast, l.DrainTotal, l.DrainLate = time.Hour, 0, time.Hour, time.Millisecond
+	})
+	c := w.dial(t)
+	in := bufio.NewReader(c)
+	w.done <- "result"
+	fmt.Fprintf(c, ask, "a")
+	if _, err := http.ReadResponse(in, nil); err != nil {
+		t.Fatal(err)
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	w.stop()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := io.ReadAll(in); err != nil {
+		t.Errorf("the resting connection was not ended but broken: %v", err)
+	}
+}
+
+// short is a listener that has run out of descriptors for a while.
+type short struct {
+	net.Listener
+	mu    sync.Mutex
+	fails int
+}
+
+func (s *short) Accept() (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fails--; s.fails >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return nil, errors.New("closed")
+}
+
+// Out of descriptors, the entrance goes on accepting; any other failure ends it.
+func TestEntranceOutOfDescriptors(t *testing.T) {
+	s := &short{fails: 5}
+	e := newEntrance(s)
+	if _, err := e.Accept(); err == nil || err.Error() != "closed" || s.fails != -1 {
+		t.Errorf("%v, after %d more", err, s.fails)
+	}
+}
--- a/internal/node/entrance.go
+++ b/internal/node/entrance.go
@@ -30,7 +30,7 @@
 
 // take accepts from the socket until that fails.
 func (e *entrance) take() {
-	for {
+	for pause := time.Duration(0); ; {
 		e.mu.Lock()
 		open := e.open
 		e.mu.Unlock()
@@ -43,6 +43,17 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue // shut
 		}
+		if isTemporary(err) { // descriptors are short: some will be free, and the listener must not end
+			pause = min(max(2*pause, 5*time.Millisecond), time.Second)
+			timer := time.NewTimer(pause)
+			select {
+			case <-timer.C:
+			case <-e.done:
+			}
+			timer.Stop()
+			continue
+		}
+		pause = 0
 		if err != nil {
 			e.mu.Lock()
 			e.err = err
@@ -54,6 +65,12 @@
 	}
 }
 
+// isTemporary reports whether accepting may succeed later, as net/http has it for its own listeners.
+func isTemporary(err error) bool {
+	var t interface{ Temporary() bool }
+	return errors.As(err, &t) && t.Temporary()
+}
+
 // bring hands over a connection that did not come by the socket. It waits until it is accepted.
 func (e *entrance) bring(c net.Conn) {
 	select {
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,7 +13,6 @@
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/send"
-	"swiftdeal/internal/takein"
 )
 
 // An open request goes to the process that takes this one's place with both of its connections, and is answered there.
@@ -31,12 +31,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if own, ok := c.(*takein.Conn); ok {
+	var more []byte
+	if own := inner(c); own != nil {
 		c = own.Conn
+		if more, err = own.Ahead(); err != nil {
+			return nil, nil, errors.Join(err, c.Close())
+		}
 	}
 	c.SetDeadline(time.Time{})
 	ahead, err := rw.Reader.Peek(rw.Reader.Buffered())
-	return c, bytes.Clone(ahead), err
+	return c, append(bytes.Clone(ahead), more...), err
 }
 
 // move gives an open request to the other process, if it can go now. last says that its client's connection ends with
@@ -125,7 +129,7 @@
 // carry waits for the answer of an adopted request and gives it to its client. The connection then goes on as any other.
 func (n *Node) carry(c *request.Context, client *carried, admitted, last bool) {
 	client.watch()
-	if !n.await(c, nil, client, client.left, admitted, last) {
+	if !n.await(c, nil, client, client.left, nil, admitted, last) {
 		n.book.Close(c, true) // gone on to yet another process
 		return
 	}
@@ -167,8 +171,9 @@
 		b := make([]byte, 64)
 		for {
 			n, err := c.Read(b)
+			// Whoever sends too much is taken to have left, as with connections that the server holds.
 			if c.ahead = append(c.ahead, b[:n]...); err != nil || len(c.ahead) > mostAhead {
-				if err != nil && !os.IsTimeout(err) {
+				if err == nil || !os.IsTimeout(err) {
 					close(c.left)
 				}
 				return
@@ -177,7 +182,7 @@
 	}()
 }
 
-// mostAhead is how much a client may send beyond its request before it is not heard any more until that is answered.
+// mostAhead is how much a client may send beyond its request.
 const mostAhead = 16 << 10
 
 // stop ends the watch.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	memory   func(bytes int64)
 	mu       sync.Mutex
 	timed    config.Limits // limits with what the settings in force make of them
+	settled  config.Limits // as the settings in force give them
 	halved   bool          // two processes share them
 	settle   sync.Mutex
 	inForce  settings.Settings // with all classes that there have been; guarded by settle
@@ -82,7 +83,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	n := &Node{
-		limits: c.Limits, timed: c.Limits, inForce: c.Settings, route: r, conns: newConnections(c.Limits),
+		limits: c.Limits, timed: c.Limits, settled: c.Limits, inForce: c.Settings, route: r, conns: newConnections(c.Limits),
 		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
@@ -227,7 +228,7 @@
 		}
 	}
 	last := spare || r.ContentLength < 0 || r.Close || !r.ProtoAtLeast(1, 1)
-	if !n.await(c, w, nil, r.Context().Done(), admitted, last) {
+	if !n.await(c, w, nil, r.Context().Done(), takein.Left(r), admitted, last) {
 		n.book.Close(c, true)
 		return
 	}
@@ -246,7 +247,13 @@
 
 // await waits for a request's answer, or for its client to leave. It returns false once the request has gone to another
 // process: nothing is left to be done here. Its client's connection is the server's, behind w, or was carried here.
-func (n *Node) await(c *request.Context, w http.ResponseWriter, client *carried, left <-chan struct{}, admitted, last bool) (stays bool) {
+func (n *Node) await(c *request.Context, w http.ResponseWriter, client *carried, left, unseen <-chan struct{}, admitted, last bool) (stays bool) {
+	gone := func() bool {
+		if c.Finish(request.Answer{Verdict: request.Gone}) {
+			n.route.Vanished(c)
+		}
+		return true
+	}
 	for {
 		select {
 		case <-c.Ended():
@@ -261,10 +268,9 @@
 		case <-c.Ended():
 			return true
 		case <-left:
-			if c.Finish(request.Answer{Verdict: request.Gone}) {
-				n.route.Vanished(c)
-			}
-			return true
+			return gone()
+		case <-unseen: // by the server, since more has come behind the request
+			return gone()
 		case <-moves:
 		}
 		from := held(client)
@@ -306,18 +312,23 @@
 		n.finish(ln, start.Add(n.limits.DrainLate))
 		return
 	}
-	end := start.Add(n.bounds().DrainTotal)
-	time.Sleep(n.limits.DrainEarly)
-	n.admit.Drain(start.Add(n.limits.DrainLate))
+	l := n.bounds()
+	late, end := start.Add(l.DrainLate), start.Add(l.DrainTotal)
+	time.Sleep(l.DrainEarly)
+	n.admit.Drain(late)
 	// By now the front sends no new connections here: what is handed back comes to another node. A SIGKILL may
 	// follow DrainLate.
-	n.route.Ends(start.Add(n.limits.DrainLate))
-	time.Sleep(time.Until(start.Add(n.limits.DrainAccept)))
+	n.route.Ends(late)
+	time.Sleep(time.Until(start.Add(l.DrainAccept)))
 	ln.Close()
 	every := time.NewTicker(tick)
 	defer every.Stop()
 	for time.Now().Before(end) {
-		n.conns.closeIdle(n.limits.DrainIdle)
+		idle := l.DrainIdle
+		if time.Now().After(late) {
+			idle = min(idle, l.DrainLast) // a client may not send any more: nobody would answer
+		}
+		n.conns.closeIdle(idle)
 		if n.admit.Open() == 0 && n.conns.count() == 0 {
 			return
 		}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -309,6 +309,9 @@
 func (n *Node) retime(to config.Limits) {
 	n.mu.Lock()
 	n.timed.OpenRequests, n.timed.DrainTotal = min(n.limits.ClientConns, to.OpenRequests), max(n.timed.DrainTotal, to.DrainTotal)
+	if to.DrainLate != n.settled.DrainLate { // it follows the longest deadline
+		n.timed.DrainLate, n.timed.DrainAccept, n.timed.DrainIdle, n.settled = to.DrainLate, to.DrainAccept, to.DrainIdle, to
+	}
 	n.mu.Unlock()
 	n.admit.Resize(n.bounds().OpenRequests)
 }
--- /dev/null
+++ b/internal/peek/peek.go
@@ -0,0 +1,97 @@
+// Package peek reads sockets so that at any moment it is known whether anything has come on one: the system still holds what
+// came and can be asked without reading it, or the owner has been told. A plain read leaves a gap in between, in which a
+// connection looks silent though its reader has its bytes in hand.
+package peek
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+)
+
+// Owner is told what was read. It is locked from before each read of the system until it has been told; no bytes are the
+// connection's end.
+type Owner interface {
+	sync.Locker
+	Took(p []byte)
+}
+
+// Reader reads a connection. It is opened once for it, so that a read or a look allocates nothing.
+type Reader struct {
+	raw   syscall.RawConn
+	owner Owner
+
+	p     []byte // of the read under way
+	n     int
+	err   error
+	quiet bool
+	b     [1]byte
+	take  func(fd uintptr) bool
+	see   func(fd uintptr)
+}
+
+// Open begins to read a connection for its owner. It returns false for one that is no socket.
+func (r *Reader) Open(c net.Conn, owner Owner) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	r.raw, r.owner, r.take = raw, owner, r.read
+	return true
+}
+
+func (r *Reader) read(fd uintptr) bool {
+	r.owner.Lock()
+	defer r.owner.Unlock()
+	r.n, r.err = syscall.Read(int(fd), r.p)
+	for r.err == syscall.EINTR {
+		r.n, r.err = syscall.Read(int(fd), r.p)
+	}
+	if r.err == syscall.EAGAIN {
+		return false
+	}
+	r.n = max(r.n, 0)
+	r.owner.Took(r.p[:r.n])
+	return true
+}
+
+// Read implements io.Reader. Only one goroutine at a time may call it.
+func (r *Reader) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	r.p, r.n, r.err = p, 0, nil
+	err := r.raw.Read(r.take)
+	r.p = nil
+	switch {
+	case err != nil: // closed, or a deadline
+		return 0, err
+	case r.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", r.err)}
+	case r.n == 0:
+		return 0, io.EOF
+	}
+	return r.n, nil
+}
+
+func (r *Reader) look(fd uintptr) {
+	_, _, err := syscall.Recvfrom(int(fd), r.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	// Bytes, the end and a reset are all no silence; a system that cannot look says nothing.
+	r.quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.EINVAL)
+}
+
+// Silent reports whether the system holds nothing that has come. The owner must be locked.
+func (r *Reader) Silent() bool {
+	if r.see == nil {
+		r.see = r.look
+	}
+	r.quiet = false
+	return r.raw.Control(r.see) == nil && r.quiet
+}
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -152,8 +152,8 @@
 	c := &conn{Conn: raw, pool: p, peer: x.peer, addr: addr, use: x}
 	p.all[c] = true
 	in := io.Reader(raw)
-	if c.look = newLook(raw); c.look != nil {
-		in, c.look.hook = c.look, p.hook
+	if c.look = newLook(raw, p.hook); c.look != nil {
+		in = c.look
 	}
 	c.limit = &io.LimitedReader{R: in, N: math.MaxInt64}
 	if p.tries != nil {
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -91,7 +91,7 @@
 	{"drain-leaves-at-once", "rule 1, SIGTERM", []Change{
 		{serving, "if n.admit.Open() == 0 && n.conns.count() == 0 {", "if n.admit.Open() >= 0 {"}}},
 	{"drain-keeps-deadlines", "rule 1, SIGTERM under load", []Change{
-		{serving, "	n.admit.Drain(start.Add(n.limits.DrainLate))\n", ""}}},
+		{serving, "	n.admit.Drain(late)\n", ""}}},
 	{"busy-connection-evicted", "rule 1, a rush of connections", []Change{
 		{conns, "if s.state == http.StateActive {\n			continue", "if s.state == http.StateClosed {\n			continue"}}},
 	{"foreign-answer-served", "rule 1, results that no peer made", []Change{{sending, "json.Unmarshal(in.line, &l) != nil || l.ID != id", "json.Unmarshal(in.line, &l) != nil"}}},
--- a/internal/takein/conn.go
+++ b/internal/takein/conn.go
@@ -5,12 +5,15 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/textproto"
 	"os"
 	"sync"
 	"time"
+
+	"swiftdeal/internal/peek"
 )
 
 // Conn is a client connection that keeps the head of the request in hand as it came. The server drops a
@@ -30,10 +33,43 @@
 	woken bool           // its reader was woken to look at give
 	gone  bool           // nobody reads it any more: it goes
 	by    time.Time      // the read deadline that the server has set
+
+	in       peek.Reader
+	socket   bool          // it is read by in
+	linger   time.Duration // for a client to end its sending, when the connection is closed after an answer
+	answered bool          // written to, and not read since: the last answer may be on its way
+	evicted  bool
+	left     chan struct{} // closed when the client has left while it waited, where the server does not see that
+	ahead    *ahead        // reads what follows a request that is open; nil: nobody does
+	over     func()        // told when a lingering close is over
+	lingers  bool
+}
+
+// NewConn wraps a client connection. A head of up to most bytes is kept, and after an answer the client has for so long as
+// linger to end its sending.
+func NewConn(c net.Conn, most int, linger time.Duration) *Conn {
+	own := &Conn{Conn: c, most: most, linger: linger, left: make(chan struct{})}
+	own.socket = own.in.Open(c, (*owner)(own))
+	return own
 }
 
-// NewConn wraps a client connection. A head of up to most bytes is kept.
-func NewConn(c net.Conn, most int) *Conn { return &Conn{Conn: c, most: most} }
+// owner is a Conn as its reader has it.
+type owner Conn
+
+// Lock implements peek.Owner.
+func (o *owner) Lock() { o.mu.Lock() }
+
+// Unlock implements peek.Owner.
+func (o *owner) Unlock() { o.mu.Unlock() }
+
+// Took implements peek.Owner: it keeps the head of what was read.
+func (o *owner) Took(p []byte) {
+	c := (*Conn)(o)
+	over := min(c.skip, int64(len(p)))
+	c.skip -= over
+	p = p[over:]
+	c.head = append(c.head, p[:min(len(p), max(c.most-len(c.head), 0))]...)
+}
 
 // Give has a connection that is idle given away as soon as nothing of a request has come: the server then finds it at
 // its end, and closes it, which gives it away. Keep takes that back; it is to be called when a request begins.
@@ -84,6 +120,19 @@
 	return woken
 }
 
+// Evict closes the connection, unless a request has been read from it: that one is answered. What the system still holds is
+// not read any more, and never sent on.
+func (c *Conn) Evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if endOfHead(c.head) >= 0 || c.skip > 0 || c.gone {
+		return false
+	}
+	c.evicted = true
+	c.Conn.Close()
+	return true
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -92,34 +141,95 @@
 		give = nil
 	}
 	c.give = nil
+	lingers := give == nil && c.answered && c.socket && c.linger > 0 && !c.evicted && !c.lingers && c.CloseWrite() == nil
+	c.lingers = c.lingers || lingers
 	c.mu.Unlock()
 	if give != nil {
 		c.Conn.SetDeadline(time.Time{})
 		give(c.Conn)
 		return nil
 	}
+	if lingers {
+		go c.drop()
+		return nil
+	}
 	return c.Conn.Close()
 }
 
+// mostDropped is how many bytes a lingering close reads.
+const mostDropped = 256 << 10
+
+// drop reads off what still comes, for a while, and closes. Guards against an answer that is lost: a close over unread bytes
+// resets the connection, and takes along what the client has not read yet.
+func (c *Conn) drop() {
+	c.stopAhead()
+	c.Conn.SetReadDeadline(time.Now().Add(c.linger))
+	io.Copy(io.Discard, io.LimitReader(c.Conn, mostDropped))
+	c.Conn.Close()
+	c.mu.Lock()
+	over := c.over
+	c.lingers, c.over = false, nil
+	c.mu.Unlock()
+	if over != nil {
+		over()
+	}
+}
+
+// Lingers reports whether a lingering close is under way; over is called when it ends.
+func (c *Conn) Lingers(over func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lingers {
+		c.over = over
+	}
+	return c.lingers
+}
+
+// Cut ends a lingering close.
+func (c *Conn) Cut() { c.Conn.Close() }
+
+// Write implements net.Conn. From its first byte on an answer is what the client waited for: what it sends then may be its next
+// request, and whether it leaves does not matter any more.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.answered = true
+	reads := c.ahead != nil
+	c.mu.Unlock()
+	if reads {
+		c.stopAhead()
+	}
+	return c.Conn.Write(p)
+}
+
 // Read implements net.Conn. What usual requests pay is one copy of their head.
 func (c *Conn) Read(p []byte) (int, error) {
+	if n, err := c.readAhead(p); n > 0 || err != nil {
+		return n, err
+	}
 	if c.leaves() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.again() {
 		if c.leaves() {
 			return 0, err
 		}
-		n, err = c.Conn.Read(p)
+		n, err = c.read(p)
 	}
+	if n == 1 && len(p) == 1 { // the server waits for the client to leave, and reads no further
+		c.watchAhead()
+	}
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
+	if c.socket {
+		return c.in.Read(p)
+	}
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	got := p[:max(n, 0)]
-	over := min(c.skip, int64(len(got)))
-	c.skip -= over
-	got = got[over:]
-	c.head = append(c.head, got[:min(len(got), max(c.most-len(c.head), 0))]...)
+	(*owner)(c).Took(p[:max(n, 0)])
 	return n, err
 }
 
@@ -182,6 +292,14 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// Left is closed when a request's client has left, where the request's own context does not tell.
+func Left(r *http.Request) <-chan struct{} {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		return c.left
+	}
+	return nil
+}
+
 // Ready reports whether a request asks if the node is ready.
 func Ready(r *http.Request) bool {
 	if r.Method != http.MethodGet || r.URL.Path != "/ready" || r.ContentLength != 0 {
--- /dev/null
+++ b/internal/takein/crossing_test.go
@@ -0,0 +1,176 @@
+package takein
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// pair returns a client's connection and the node's end of it.
+func pair(t *testing.T, linger time.Duration) (client *net.TCPConn, own *Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); raw.Close() })
+	return c.(*net.TCPConn), NewConn(raw, 32<<10, linger)
+}
+
+const ask = "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
+
+// open reads a request off the connection, as the server does, and begins the server's watch of one byte.
+func open(t *testing.T, client net.Conn, own *Conn) (watched chan error) {
+	t.Helper()
+	if _, err := client.Write([]byte(ask)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(own, make([]byte, len(ask))); err != nil {
+		t.Fatal(err)
+	}
+	if _, known := own.take(0); !known {
+		t.Fatal("the head is not known")
+	}
+	watched = make(chan error, 1)
+	go func() {
+		_, err := own.Read(make([]byte, 1))
+		watched <- err
+	}()
+	return watched
+}
+
+// A client's next request may come while the server still watches for it to leave: all of it is read, however large.
+func TestNextRequestMeetsTheWatch(t *testing.T) {
+	client, own := pair(t, 0)
+	watched := open(t, client, own)
+	if _, err := own.Write([]byte("answer")); err != nil {
+		t.Fatal(err)
+	}
+	next := bytes.Repeat([]byte("0123456789abcdef"), 4096)
+	go client.Write(next)
+	if err := <-watched; err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(next)-1)
+	if _, err := io.ReadFull(own, got); err != nil || !bytes.Equal(got, next[1:]) {
+		t.Errorf("%v, or other bytes", err)
+	}
+	select {
+	case <-own.left:
+		t.Error("the client is taken to have left")
+	default:
+	}
+}
+
+// A client that leaves is seen to leave also where more has come behind its request; so is one that sends without end. What
+// came ahead is the next request where the client stays.
+func TestLeavesBehindMoreBytes(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"closes":      func(c *net.TCPConn) { c.Close() },
+		"half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"floods": func(c *net.TCPConn) {
+			go func() {
+				for _, err := c.Write(make([]byte, 4<<10)); err == nil; _, err = c.Write(make([]byte, 4<<10)) {
+				}
+			}()
+		},
+	} {
+		client, own := pair(t, 0)
+		watched := open(t, client, own)
+		client.Write([]byte(ask))
+		if err := <-watched; err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		leave(client)
+		<-own.left
+	}
+	client, own := pair(t, 0)
+	watched := open(t, client, own)
+	client.Write([]byte(ask))
+	<-watched
+	own.Write([]byte("answer"))
+	if got, err := io.ReadAll(io.LimitReader(own, int64(len(ask))-1)); err != nil || string(got) != ask[1:] {
+		t.Errorf("behind an answer: %q %v", got, err)
+	}
+}
+
+// A request meets the eviction of its connection. One that has been read keeps the connection; one that has not is never
+// read, also when its reader stands ready for it.
+func TestEvictionMeetsARequest(t *testing.T) {
+	client, own := pair(t, time.Hour)
+	client.Write([]byte(ask))
+	io.ReadFull(own, make([]byte, len(ask)))
+	if own.Evict() {
+		t.Error("evicted with a request in hand")
+	}
+	for _, text := range []string{"", ask[:20], ask} {
+		client, own := pair(t, time.Hour)
+		if !own.Evict() {
+			t.Errorf("%q: stays", text)
+		}
+		client.Write([]byte(text))
+		if n, err := own.Read(make([]byte, 100)); n != 0 || !errors.Is(err, net.ErrClosed) {
+			t.Errorf("%q: read %d, %v", text, n, err)
+		}
+	}
+	client, own = pair(t, time.Hour)
+	client.Write([]byte(ask[:20]))
+	io.ReadFull(own, make([]byte, 20))
+	if !own.Evict() {
+		t.Error("half a head keeps its connection")
+	}
+}
+
+// A close over unread bytes resets the connection, and takes an answer along that the client has not read. With a lingering
+// close the client reads its answer and then the end, whatever it has sent in between.
+func TestLingeringClose(t *testing.T) {
+	for _, linger := range []time.Duration{0, time.Hour} {
+		client, own := pair(t, linger)
+		if _, err := client.Write(bytes.Repeat([]byte(ask), 100)); err != nil {
+			t.Fatal(err)
+		}
+		io.ReadFull(own, make([]byte, len(ask)))
+		own.Write([]byte("answer"))
+		own.Close()
+		ended := make(chan struct{})
+		lingers := own.Lingers(func() { close(ended) })
+		got, err := io.ReadAll(client)
+		if lingers != (linger > 0) || (err == nil && string(got) == "answer") != (linger > 0) {
+			t.Errorf("linger %v: %v, the client reads %q, %v", linger, lingers, got, err)
+		}
+		if client.Close(); lingers {
+			<-ended
+		}
+	}
+	// A connection at rest is closed at once: what comes then was never read.
+	client, own := pair(t, time.Hour)
+	own.Write([]byte("answer"))
+	own.Conn.SetReadDeadline(time.Unix(1, 0))
+	own.Read(make([]byte, 1)) // the server waits for the next request
+	own.Close()
+	if own.Lingers(nil) {
+		t.Error("a connection at rest lingers")
+	}
+	if got, err := io.ReadAll(client); err != nil || string(got) != "answer" {
+		t.Errorf("%q %v", got, err)
+	}
+	// A client that sends without end does not hold the connection for long.
+	client, own = pair(t, time.Hour)
+	own.Write([]byte("answer"))
+	own.Close()
+	for _, err := client.Write([]byte(strings.Repeat("x", 64<<10))); err == nil; _, err = client.Write([]byte(strings.Repeat("x", 64<<10))) {
+	}
+}
--- a/internal/takein/takein_test.go
+++ b/internal/takein/takein_test.go
@@ -115,7 +115,7 @@
 			}
 			theirs.Close()
 		}()
-		conn := NewConn(ours, 1<<10)
+		conn := NewConn(ours, 1<<10, 0)
 		in := bufio.NewReaderSize(conn, 64)
 		for _, want := range heads {
 			r, err := http.ReadRequest(in)
