Cold workers' budget holds over restarts and without hints; nodes are ready without discovery

Cause: balance.mayCold counted the sends of this process alone, so that a node killed and started anew spent its part of a cold worker's budget twice; a class's running time was taken for its aim and learned by a twentieth a job, so that jobs twice as long got twice the budget from nodes that had just started.

Change: a process sends nothing to cold workers for one window after its start, unless what was sent before is handed to it (Knowledge.Born); running times above the guess teach fast at first; a node is ready after 6 s without a list. Tests of balance whose nodes are meant to be old say so now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 // Members takes a list of workers, or the failure to get one.
 func (b *Balancer) Members(now time.Duration, kind List, list []Worker) {
 	if b.now = now; b.lastReq == 0 {
-		b.lastReq = now // rates count from here
+		b.lastReq, b.born = now, now // rates count from here
 	}
 	switch kind {
 	case ListFailed: // jittered, and soon: silence may hide a drain
@@ -196,7 +196,7 @@
 		w.fails, w.heard = 0, b.now
 		b.learn(a, 1)
 		from := max(a.sent, a.started)
-		b.run[a.r.Class] += 0.05 * ((b.now - from).Seconds() - b.run[a.r.Class])
+		b.ran(a.r.Class, (b.now - from).Seconds())
 		w.guess = max(w.guess, float64(len(w.out)+2))
 	case Full:
 		w.guess, w.probed = max(1, math.Floor(w.guess/2)), 0
@@ -628,10 +628,10 @@
 	}
 	size := max(w.capSlots, b.slots[w.Kind])
 	if size == 0 { // neither it nor one like it has ever reported
-		return w.turn == 0 && own == 0
+		return w.turn == 0 && own == 0 && b.grown()
 	}
 	budget := b.s.FallMultiple * f * size * b.s.FallAfter.Seconds()
-	return w.turn < turns && 2.1*float64(w.turn+1)*(own+b.work(r)) <= budget
+	return w.turn < turns && b.grown() && 2.1*float64(w.turn+1)*(own+b.work(r)) <= budget
 }
 
 func (b *Balancer) send(r *request, w *worker) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -59,6 +59,8 @@
 		}
 	}
 	b.Members(0, ListFull, list)
+	b.Members(time.Second, ListChanges, nil)
+	b.born = -time.Hour // it has been up for longer than the window of a cold worker's budget
 	for _, w := range list {
 		f := free[w.ID]
 		b.Probed(time.Second, w.ID, OK, &Report{FreeSlots: f[0], FreeMemory: f[1], Queue: -1, InHand: -1, Mark: 1})
@@ -651,6 +653,7 @@
 		list = append(list, Worker{ID: fmt.Sprint("w", i), Zone: "a", State: Ready, Started: started})
 	}
 	b.Members(100*time.Second, ListFull, list)
+	b.born = 0 // it has been up for longer than the window of a cold worker's budget
 	h.log = nil
 	return b, h
 }
--- a/balance/know.go
+++ b/balance/know.go
@@ -18,6 +18,7 @@
 	Delay, Usual float64
 	RateN, RateT float64
 	LastRequest  time.Duration
+	Born         time.Duration // since when all sends are known
 }
 
 // Known is what a balancer knows of one worker.
@@ -43,7 +44,7 @@
 // Know returns what the balancer has learned.
 func (b *Balancer) Know() Knowledge {
 	k := Knowledge{
-		Slots: b.slots, Pace: b.pace, Quick: b.quick, Delay: b.delay, Usual: b.usual, RateN: b.rateN, RateT: b.rateT, LastRequest: b.lastReq,
+		Slots: b.slots, Pace: b.pace, Quick: b.quick, Delay: b.delay, Usual: b.usual, RateN: b.rateN, RateT: b.rateT, LastRequest: b.lastReq, Born: b.born,
 	}
 	for _, w := range b.workers {
 		o := Known{
@@ -79,6 +80,9 @@
 // so is a worker that the list does not name, or that has started anew since.
 func (b *Balancer) Learn(now time.Duration, k Knowledge) {
 	b.now = now
+	if k.Born > 0 && k.Born < b.born { // what the one before has sent comes along
+		b.born = k.Born
+	}
 	right := func(v, least, most float64) bool { return v >= least && v <= most }
 	if right(float64(k.Pace), float64(b.s.DialTimeout)/8, float64(8*b.s.DialTimeout)) {
 		b.pace = k.Pace
@@ -153,7 +157,7 @@
 				run, patient = b.run[i], min(b.patient[i], c.Deadline)
 			}
 		}
-		b.run, b.patient = append(b.run, run), append(b.patient, patient)
+		b.run, b.patient, b.ends = append(b.run, run), append(b.patient, patient), append(b.ends, 0)
 		b.tight = min(b.tight, c.Aim.Seconds())
 	}
 	b.tend()
--- a/balance/state.go
+++ b/balance/state.go
@@ -93,6 +93,8 @@
 	endsAt   time.Duration   // when this balancer is stopped; 0 if that is not known
 	waits    []*attempt      // sent and not ended
 	run      []float64       // learned running time by class, seconds
+	ends     []int           // jobs of each class that have ended, as far as it is learned from them
+	born     time.Duration   // when this balancer began, or the one whose sends it knows
 	patient  []time.Duration // longest patience seen by class: that of a first try
 	pace     time.Duration   // between probes of one worker; follows the pace of fresh reports
 	wakeAt   time.Duration
@@ -252,6 +254,21 @@
 	b.act.Watch()
 }
 
+// grown reports whether all that this node may have sent within the window of a cold worker's budget is known. Guards against
+// a process that was killed and starts anew: it would spend again what the one before it has spent.
+func (b *Balancer) grown() bool { return b.now-b.born >= b.s.FallAfter }
+
+// ran learns a class's running time. The aim is its first guess; jobs that run longer teach fast at first, which guards against
+// a node that has just started and takes jobs for far smaller than they are: a cold worker would pay for it.
+func (b *Balancer) ran(class int, took float64) {
+	b.ends[class]++
+	share := 0.05
+	if took > b.run[class] {
+		share = max(share, 1/float64(b.ends[class]+1))
+	}
+	b.run[class] += share * (took - b.run[class])
+}
+
 // credit takes account of a request: it earns probes on demand, two looks with some saved up, and a share of a call-back.
 func (b *Balancer) credit() {
 	b.tokens = min(b.tokens+4*look, 16*look)
@@ -376,7 +393,7 @@
 	}
 	b := &Balancer{
 		s: s, act: act, rnd: seed, byID: map[string]*worker{}, reqs: map[string]*request{},
-		slots: map[string]float64{}, run: make([]float64, len(s.Classes)),
+		slots: map[string]float64{}, run: make([]float64, len(s.Classes)), ends: make([]int, len(s.Classes)),
 		patient: make([]time.Duration, len(s.Classes)), pace: s.DialTimeout, quick: s.DialTimeout,
 		retryAt: -1, usual: 1, budget: 1,
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -45,6 +45,7 @@
 	ListFirst   time.Duration // for the first line of a watch, from the call's start
 	ListSilence time.Duration // a watch that brings no line for this long has failed
 	ListBytes   int           // of one line, or of a whole list
+	ReadyWait   time.Duration // for an upstream group, before clients are taken without one
 
 	// Draining, counted from SIGTERM.
 	DrainAccept time.Duration // new client connections are accepted for so long
@@ -101,7 +102,7 @@
 		MaxPatience: time.Hour, AnswerMargin: 5 * time.Millisecond, RefusedFor: 250 * time.Millisecond,
 		DialWait: s.Balance.DialTimeout, ProbeWait: 200 * time.Millisecond, TailWait: time.Second,
 		LineBytes: 512 << 10, ReportBytes: 4 << 10,
-		ListWait: 3 * time.Second, ListFirst: 4 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20,
+		ListWait: 3 * time.Second, ListFirst: 4 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20, ReadyWait: 6 * time.Second,
 		DrainEarly: 700 * time.Millisecond, DrainLast: 50 * time.Millisecond,
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
 		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second, ControlBody: 64 << 10, CouncilCall: 4 * time.Second, CouncilWait: 2 * time.Second,
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,7 +44,8 @@
 	case <-n.route.Held():
 		return !leaving
 	default:
-		return !leaving && n.next != nil && n.next.entered.Load()
+		// Guards against a node that starts while discovery is down and is never ready: jobs are held, and refused in time.
+		return !leaving && (n.next != nil && n.next.entered.Load() || !time.Now().Before(n.readyBy))
 	}
 }
 
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/machine"
 )
 
 const ask = "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
@@ -105,6 +109,33 @@
 	}
 }
 
+// A node that starts while discovery is down, with no list of its own, is ready all the same after a while. Clients that say
+// nothing may take all places that clients have: it still reaches discovery and workers once they are up, and serves.
+func TestStartWithoutDiscovery(t *testing.T) {
+	var up atomic.Bool
+	m := machine.Real()
+	real := m.Dial
+	m.Dial = func(ctx context.Context, addr string, wait time.Duration, purpose string) (net.Conn, error) {
+		if strings.HasPrefix(purpose, "/v1/") && !up.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		return real(ctx, addr, wait, purpose)
+	}
+	w := startOn(t, m, func(l *config.Limits) {
+		l.ReadyWait, l.ClientConns, l.SpareConns, l.SilentFor = 0, 4, 2, 0
+	})
+	for range 12 {
+		w.dial(t)
+	}
+	up.Store(true)
+	w.done <- "result"
+	c := w.dial(t)
+	fmt.Fprintf(c, ask, "a")
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%v %v", resp, err)
+	}
+}
+
 // short is a listener that has run out of descriptors for a while.
 type short struct {
 	net.Listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	log      *slog.Logger
 
 	serving                  atomic.Bool // clients' connections are accepted
+	readyBy                  time.Time   // from then on clients are taken without an upstream group too
 	reloadsOK, reloadsFailed atomic.Int64
 }
 
@@ -88,6 +89,7 @@
 		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
 	n.book.Wanted(c.Settings.Balance.Classes)
+	n.readyBy = time.Now().Add(c.Limits.ReadyWait)
 	n.memory, n.fleet = m.Memory, newFleet(n, m, c, log)
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
--- /dev/null
+++ b/tools/red/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+func result(test, action string) string {
+	return fmt.Sprintf(`{"Action":%q,"Package":"p","Test":%q}`+"\n", action, test)
+}
+
+// Only what is listed may fail, by its exact name, and it has to.
+func TestJudge(t *testing.T) {
+	const known = "p.TestRed | a cause | issue 1\n"
+	failed := `{"Action":"fail","Package":"p"}` + "\n"
+	for _, c := range []struct {
+		name, list, events string
+		good               bool
+	}{
+		{"as listed", known, result("TestRed", "fail") + result("TestOther", "pass") + failed, true},
+		{"it passes", known, result("TestRed", "pass"), false},
+		{"it is not there", known, result("TestOther", "pass"), false},
+		{"it is skipped", known, result("TestRed", "skip"), false},
+		{"another fails", known, result("TestRed", "fail") + result("TestRedder", "fail") + failed, false},
+		{"its package does not build", known, result("TestRed", "fail") + `{"Action":"fail","Package":"q"}` + "\n", false},
+		{"no cause", "p.TestRed |  | issue 1", result("TestRed", "fail"), false},
+		{"too many", known + "p.TestA | a | b\np.TestB | a | b\np.TestC | a | b\n", result("TestRed", "fail"), false},
+	} {
+		if err := judge(c.list, strings.NewReader(c.events), io.Discard); (err == nil) != c.good {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
