--- a/balance/state.go
+++ b/balance/state.go
@@ -290,7 +290,8 @@
 // worker is silent, which says nothing of starts.
 func (b *Balancer) recall(a *attempt, silent bool) {
 	if !silent { // a silent worker does no work
-		b.budget--
+		// What is known of other workers is as old as their reports: for a job much shorter than that it says little.
+		b.budget -= max(1, 1.5*b.pace.Seconds()/max(b.run[a.r.Class], 1e-3))
 	}
 	if a.left = true; a.started == 0 && !silent {
 		b.started(math.MaxInt64)
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -160,3 +160,48 @@
 		t.Errorf("%v, after %d more", err, s.fails)
 	}
 }
+
+// A hand-over takes along what came behind an open request: in whichever process it is by then, the client that stays gets its
+// answer whole, and one that leaves, half-closes or floods has its job called off.
+func TestMoveWithMoreBytes(t *testing.T) {
+	dir := t.TempDir()
+	w := start(t, nil, dir)
+	ways := map[string]func(*net.TCPConn){
+		"leaves": func(c *net.TCPConn) { c.Close() },
+		"ends":   func(c *net.TCPConn) { c.CloseWrite() },
+		"floods": func(c *net.TCPConn) {
+			for _, err := c.Write(make([]byte, 4<<10)); err == nil; _, err = c.Write(make([]byte, 4<<10)) {
+			}
+		},
+	}
+	conns := map[string]*net.TCPConn{"stays": w.dial(t)}
+	for name := range ways {
+		conns[name] = w.dial(t)
+	}
+	for name, c := range conns {
+		fmt.Fprintf(c, ask, "long-"+name)
+		<-w.jobs
+		fmt.Fprint(c, "POST /job HT") // half of a next one
+	}
+	stop, ended := w.successor(t, dir)
+	for name, leave := range ways {
+		go leave(conns[name])
+		<-w.left
+	}
+	w.long <- "result"
+	resp, err := http.ReadResponse(bufio.NewReader(conns["stays"]), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	if text, err := io.ReadAll(resp.Body); err != nil || string(text) != "result" {
+		t.Errorf("%q %v", text, err)
+	}
+	conns["stays"].Close()
+	w.stop()
+	<-w.ended
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -13,6 +13,7 @@
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/send"
+	"swiftdeal/internal/takein"
 )
 
 // An open request goes to the process that takes this one's place with both of its connections, and is answered there.
@@ -150,6 +151,9 @@
 		client.kept = true
 		return
 	}
+	if taken {
+		takein.Linger(client.Conn, n.limits.Linger) // more may have come behind the request
+	}
 	client.Close()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -311,7 +311,7 @@
 	n.standing.end()
 	start := time.Now()
 	if n.next.ending() {
-		n.finish(ln, start.Add(n.limits.DrainLate))
+		n.finish(ln, start.Add(n.bounds().DrainLate))
 		return
 	}
 	l := n.bounds()
--- a/internal/takein/conn.go
+++ b/internal/takein/conn.go
@@ -163,8 +163,7 @@
 // resets the connection, and takes along what the client has not read yet.
 func (c *Conn) drop() {
 	c.stopAhead()
-	c.Conn.SetReadDeadline(time.Now().Add(c.linger))
-	io.Copy(io.Discard, io.LimitReader(c.Conn, mostDropped))
+	Linger(c.Conn, c.linger)
 	c.Conn.Close()
 	c.mu.Lock()
 	over := c.over
@@ -175,6 +174,14 @@
 	}
 }
 
+// Linger ends sending on a connection and reads off what comes, until its other end is done too, or for so long at most.
+func Linger(c net.Conn, wait time.Duration) {
+	if w, ok := c.(*net.TCPConn); ok && wait > 0 && w.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(wait))
+		io.Copy(io.Discard, io.LimitReader(c, mostDropped))
+	}
+}
+
 // Lingers reports whether a lingering close is under way; over is called when it ends.
 func (c *Conn) Lingers(over func()) bool {
 	c.mu.Lock()
