The call for the list is made when its pause ends, not at the next usual wake

Seen: TestStartWithoutDiscovery took 60 s each time where settings give a dial time-out of 60 s. At fault: Balancer.tend looked at retryAt only when it was woken for something else, and its own wakes are a dial time-out apart; with 150 ms that is hardly seen, with a customer's 5 s it breaks the six seconds. Ruled out: the node's readiness (it was ready at once) and discovery (not called).

Change: backoff asks to be woken. TestListIsAskedForAgainSoon checks that; before, it drove the clock itself and did not see it.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 type host struct {
 	log  []string
 	wait time.Duration // told to the last one refused
+
+	wakes []time.Duration // asked for by After, without a request
 }
 
 func (h *host) add(f string, a ...any) { h.log = append(h.log, fmt.Sprintf(f, a...)) }
@@ -21,12 +24,16 @@
 	h.add("refuse %s", r)
 	h.wait = wait
 }
-func (h *host) Fail(r string)               { h.add("fail %s", r) }
-func (h *host) Cancel(r string, n int)      { h.add("cancel %s %d", r, n) }
-func (h *host) Probe(w string)              { h.add("probe %s", w) }
-func (h *host) Watch()                      { h.add("watch") }
-func (h *host) Fetch()                      { h.add("fetch") }
-func (h *host) After(time.Duration, string) {}
+func (h *host) Fail(r string)          { h.add("fail %s", r) }
+func (h *host) Cancel(r string, n int) { h.add("cancel %s %d", r, n) }
+func (h *host) Probe(w string)         { h.add("probe %s", w) }
+func (h *host) Watch()                 { h.add("watch") }
+func (h *host) Fetch()                 { h.add("fetch") }
+func (h *host) After(d time.Duration, id string) {
+	if id == "" {
+		h.wakes = append(h.wakes, d)
+	}
+}
 func (h *host) take(prefix string) (l []string) {
 	for _, s := range h.log {
 		if strings.HasPrefix(s, prefix) {
@@ -962,7 +969,11 @@
 				b.Members(0, ListFull, []Worker{{ID: "w1", Zone: "a", State: Ready}})
 				h.take("watch")
 				now := time.Second
+				h.wakes = nil
 				b.Members(now, ListFailed, nil)
+				if !slices.Contains(h.wakes, b.retryAt-now) {
+					t.Fatalf("nobody wakes the balancer after %v: %v", b.retryAt-now, h.wakes)
+				}
 				b.Timer(now+600*time.Millisecond, "")
 				if got := h.take("watch"); len(got) != 1 {
 					t.Fatalf("seed %d: not asked again after 0.6 s: %v", seed, got)
--- a/balance/state.go
+++ b/balance/state.go
@@ -238,14 +238,16 @@
 	listEvery    = 4400 * time.Millisecond
 )
 
-// backoff draws the pause before the list is asked for again, longer with each failure. It is spread widely, which guards
-// against balancers that lost their watch together and would call together.
+// backoff draws the pause before the list is asked for again, longer with each failure, and asks to be woken then. It is spread
+// widely, which guards against balancers that lost their watch together and would call together.
 func (b *Balancer) backoff() time.Duration {
-	if b.misses == 0 {
-		return time.Duration(float64(firstBackoff) * b.chance())
+	pause := time.Duration(float64(firstBackoff) * b.chance())
+	if b.misses > 0 {
+		most := max(min(laterBackoff<<min(b.misses-1, 4), listEvery-(b.now-b.calledAt)), leastBackoff)
+		pause = time.Duration(float64(most) * (0.25 + 0.75*b.chance()))
 	}
-	most := max(min(laterBackoff<<min(b.misses-1, 4), listEvery-(b.now-b.calledAt)), leastBackoff)
-	return time.Duration(float64(most) * (0.25 + 0.75*b.chance()))
+	b.act.After(pause, "") // the usual wakes are a dial's time-out apart, which may be long
+	return pause
 }
 
 // watch asks for the list.
