The server's watch may begin only after the answer: the next request is whole all the same

Seen: TestNextRequestMeetsTheWatch, made strict (it passed without its mend), failed under the race detector. At fault: Conn.Read took any read for the begin of the next request, also the server's watch of one byte, whose goroutine may start after a quick answer; a next request over 16 KiB was then taken for a flood and its client for one who left. Ruled out: the order that the test forced before. Change: only a read of more than a byte, or a request's head taken, says that a request begins.

--- a/internal/takein/ahead.go
+++ b/internal/takein/ahead.go
@@ -70,7 +70,9 @@
 	a := c.stopAhead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = false
+	if len(p) > 1 { // the server's watch reads one byte, and may begin only after the answer
+		c.answered = false
+	}
 	if a == nil {
 		return 0, nil
 	}
--- a/internal/takein/conn.go
+++ b/internal/takein/conn.go
@@ -254,6 +254,7 @@
 func (c *Conn) take(body int64) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered = false // a request begins
 	end := endOfHead(c.head)
 	if c.lost = c.lost || end < 0; c.lost {
 		c.head = nil
