The council's shell has a package of its own: internal/fleet/seat

A scale run is to hold hundreds of members whose control code is the product's, without a data path; the shell round the council's core was tied to Node. Seat and Drainer move; the node is seen through seat.Host. Behaviour is as before. The drainer's test moves with it: its package clause and the type's name change, nothing else.

--- a/internal/node/drainer_test.go
+++ b/internal/fleet/seat/drainer_test.go
@@ -1,4 +1,4 @@
-package node
+package seat
 
 import (
 	"fmt"
@@ -31,7 +31,7 @@
 	out := &told{}
 	var asked []string
 	var answer func([]string)
-	d := &drainer{Events: out, busy: func(peers []string, quiet func([]string)) { asked, answer = peers, quiet }}
+	d := &Drainer{Events: out, busy: func(peers []string, quiet func([]string)) { asked, answer = peers, quiet }}
 	peer := func(id string, s balance.State) config.Peer {
 		return config.Peer{Worker: balance.Worker{ID: id, State: s, Zone: "a", Kind: "k"}}
 	}
--- /dev/null
+++ b/internal/fleet/seat/seat.go
@@ -0,0 +1,212 @@
+// Package seat carries a node's part in the council over the view's socket: it is the shell round the core in package council,
+// and what keeps drained workers from the node's Balancer. It knows of the node what Host says, and nothing else, so that whoever
+// has a Host runs the very same code.
+package seat
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/fleet/accord"
+	"swiftdeal/internal/fleet/accord/disk"
+	"swiftdeal/internal/fleet/council"
+	"swiftdeal/internal/fleet/gossip"
+	"swiftdeal/internal/fleet/member"
+	"swiftdeal/internal/fleet/rollout"
+	"swiftdeal/internal/fleet/wire"
+)
+
+// Host is the node round a Seat. All methods are called by the owner of the view, and must not wait.
+type Host interface {
+	State() wire.State // what the node says of its service
+	SentAway() bool    // clients are sent away
+	Idle() bool        // nothing is open in the process
+	Drain()            // leave service
+	Resume()           // come back into it
+	Told(told bool)    // whether the council has said what concerns this node
+
+	// Counts is what clients have been answered, by class.
+	Counts() map[string]rollout.Count
+	// Known is what the Balancer knows of workers, and its room by class; it is asked of a seat alone. nil: nothing yet.
+	Known() (workers map[string]balance.Known, room map[string]int)
+}
+
+// Config is what a Seat is made with.
+type Config struct {
+	Fleet    *config.Fleet // it has a council
+	Name     string        // of the member
+	Program  string        // version
+	Life     uint64        // the view's
+	ColdFor  time.Duration // a worker that has started is cold for so long
+	BindWait time.Duration // for the folder that another process still holds
+	Random   func() uint64 // a number that no other process is given
+	Drainer  *Drainer
+}
+
+// Seat is the node's part in the council: the shell round the core. All methods are called by the owner of the view alone.
+type Seat struct {
+	c       Config
+	host    Host
+	core    *council.Core
+	store   *disk.Store
+	log     *slog.Logger
+	viewed  time.Duration
+	owned   time.Duration
+	own     council.Own
+	waiting map[uint64]chan<- council.Result
+	begun   bool // whoever runs the process has begun to restart it
+}
+
+// New makes the node's part in the council as it enters the fleet.
+func New(c Config, host Host, now time.Duration, log *slog.Logger) (*Seat, error) {
+	t := c.Fleet.Council
+	s := &Seat{c: c, host: host, log: log, viewed: -time.Hour, owned: -time.Hour, waiting: map[uint64]chan<- council.Result{}}
+	var saved *accord.Saved
+	if t.Dir != "" && t.Has(c.Name) {
+		var err error
+		if s.store, saved, err = disk.Open(t.Dir, c.Name, c.BindWait); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	s.core, err = council.New(council.Config{Name: c.Name, Site: c.Fleet.Site, Version: c.Program, Life: c.Life, ID: c.Random() | 1, Seats: t.Seats, Spares: t.Spares, Absent: t.Absent,
+		Budgets: t.Budgets, Period: c.Fleet.Period, Saved: saved, Disk: s.store != nil}, rand.New(rand.NewPCG(c.Random(), c.Random())), now)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Step implements gossip.Part.
+func (s *Seat) Step(now time.Duration, view *member.Core) []gossip.Letter {
+	if s.core.HasSeat() && now-s.viewed >= s.c.Fleet.Period {
+		s.viewed = now
+		v := view.View()
+		list := make([]council.Seen, 0, len(v.Members))
+		for _, m := range v.Members {
+			list = append(list, council.Seen{Name: m.Name, Life: m.Life, Status: m.Status, State: m.State})
+		}
+		s.core.See(now, list)
+	}
+	if now-s.owned >= s.c.Fleet.Period/4 {
+		s.owned = now
+		s.own = s.ask()
+	}
+	s.own.Inc, s.own.State = view.Self().Inc, s.host.State()
+	s.own.Away = s.host.SentAway()
+	s.core.Step(now, s.own)
+	return s.flush()
+}
+
+// ask is what the node says of itself to the council.
+func (s *Seat) ask() council.Own {
+	d := s.c.Drainer
+	o := council.Own{Whole: !s.begun, Counts: s.host.Counts(), Quiet: d.isQuiet}
+	d.look()
+	if s.core.HasSeat() {
+		var known map[string]balance.Known
+		known, o.Room = s.host.Known()
+		o.Workers = d.workers(time.Duration(time.Now().UnixNano()), s.c.ColdFor, known)
+	}
+	return o
+}
+
+// Take implements gossip.Part.
+func (s *Seat) Take(now time.Duration, from string, kind wire.Kind, body []byte) {
+	s.core.Take(now, from, kind, body)
+}
+
+// Wake implements gossip.Part.
+func (s *Seat) Wake() time.Duration { return min(s.core.Wake(), s.owned+s.c.Fleet.Period/4) }
+
+// Close implements gossip.Part.
+func (s *Seat) Close() {
+	if s.store != nil {
+		s.store.Close()
+		s.store = nil
+	}
+	for t, c := range s.waiting {
+		c <- council.Result{Text: "the node ends its part in the fleet"}
+		delete(s.waiting, t)
+	}
+}
+
+// flush lets what the core has done take effect.
+func (s *Seat) flush() (out []gossip.Letter) {
+	for _, a := range s.core.Out() {
+		switch a.Do {
+		case council.Send:
+			out = append(out, gossip.Letter{To: a.To, Kind: a.Kind, Body: a.Body})
+		case council.Save:
+			if s.store == nil {
+				continue
+			}
+			if err := s.store.Save(a.Saved); err != nil {
+				// What is not on the disk must not be promised: nothing that follows goes out, and the part ends.
+				s.log.Error("cannot be saved: this seat is silent from here on", "error", err)
+				s.core.Accord().Forget("its disk fails")
+				return nil
+			}
+		case council.Begin:
+			s.begun = false
+			s.log.Info("leaves service", "permit", a.No, "target", a.Target, "away", a.Away)
+			if a.Away {
+				s.host.Drain()
+			}
+		case council.Return:
+			s.log.Info("comes back into service", "permit", a.No)
+			s.host.Resume()
+		case council.Drains:
+			s.log.Info("drained workers", "workers", a.Workers)
+			s.c.Drainer.set(a.Workers)
+		case council.Say:
+			s.log.Info("council", "says", a.Text)
+		}
+	}
+	for _, b := range s.core.Begun() {
+		s.log.Info("exit confirmed", "of", b.Of.String(), "permit", b.No, "out", b.Out, "most", b.Most, "group", b.Group.String())
+	}
+	for _, r := range s.core.Replies() {
+		if c := s.waiting[r.Ticket]; c != nil {
+			c <- r.Result
+			delete(s.waiting, r.Ticket)
+		}
+	}
+	s.host.Told(s.core.Told())
+	return out
+}
+
+// Call asks something of the council. What has become of it comes on reply, which has room for it.
+func (s *Seat) Call(now time.Duration, c council.Call, reply chan<- council.Result) {
+	s.waiting[s.core.Call(now, c)] = reply
+}
+
+// Report is what this node knows of the council.
+func (s *Seat) Report(now time.Duration) *council.Report { return s.core.Report(now) }
+
+// Duty is what may be done with this node's process now.
+func (s *Seat) Duty() council.Duty { return s.core.Duty(s.host.Idle()) }
+
+// DutyOf says the same of another node; ok is false where this node has no seat that would know.
+func (s *Seat) DutyOf(node string) (d council.Duty, ok bool) {
+	if !s.core.Knows() {
+		return d, false
+	}
+	return s.core.DutyOf(node), true
+}
+
+// Did takes that whoever runs the process begins to restart it under a permit; ok is false where that is not to be done now.
+func (s *Seat) Did(permit string) (d council.Duty, ok bool) {
+	d = s.Duty()
+	if fmt.Sprint(d.Permit) != permit || d.Do != "restart" {
+		return d, false
+	}
+	s.begun, s.own.Whole = true, false
+	s.log.Info("is about to be restarted", "permit", d.Permit, "version", d.Version)
+	return d, true
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"swiftdeal/internal/fleet/facts"
 	"swiftdeal/internal/fleet/gossip"
 	"swiftdeal/internal/fleet/member"
+	"swiftdeal/internal/fleet/seat"
 	"swiftdeal/internal/fleet/wire"
 	"swiftdeal/internal/machine"
 	"swiftdeal/internal/upstream"
@@ -33,7 +33,7 @@
 	entered time.Time
 	told    atomic.Bool // the council has said what concerns this node
 
-	drains_ *drainer // between discovery and the Balancer; nil without a council
+	drainer *seat.Drainer // between discovery and the Balancer; nil without a council
 
 	book  *facts.Book // the owner of the Balancer's own
 	last  atomic.Pointer[looked]
@@ -74,15 +74,13 @@
 	return f.c.Name
 }
 
-func (f *fleet) random() *rand.Rand { return rand.New(rand.NewPCG(f.m.Random(), f.m.Random())) }
-
 // between puts what the council drains between discovery and whoever is told of workers.
 func (f *fleet) between(list upstream.Events) upstream.Events {
 	if f == nil || f.c.Fleet.Council == nil {
 		return list
 	}
-	f.drains_ = &drainer{Events: list, busy: f.n.route.Busy}
-	return f.drains_
+	f.drainer = seat.NewDrainer(list, f.n.route.Busy)
+	return f.drainer
 }
 
 // enter takes part in the fleet. A process that replaces another one waits for the address: the other one gives it up as
@@ -219,7 +217,7 @@
 		list = append(list, facts.Seen{Worker: w.ID, Started: w.Started, Ill: w.Fails > 1 || w.ProbeFails > 1})
 	}
 	l := &looked{at: time.Now(), facts: f.book.Own(now, list), rooms: rooms}
-	if f.drains_ != nil {
+	if f.drainer != nil {
 		l.know = map[string]balance.Known{}
 		for _, w := range k.Workers {
 			l.know[w.ID] = balance.Known{ID: w.ID, Started: w.Started, Fails: w.Fails, ProbeFails: w.ProbeFails}
