Gossip counts datagrams and bytes by kind

Only totals were counted, so that nobody could say which kind of datagram a fleet's bytes are. Service.Traffic and gw_fleet_kind_* figures tell them; Service.Sizes tells how much is held without copying the view. The totals keep their names and are the sums.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -63,10 +63,10 @@
 	part Part         // so too; nil: none
 	sock net.PacketConn
 
-	sent, received, sentBytes, receivedBytes atomic.Int64
-	dropped                                  [len(reasons)]atomic.Int64
-	toldAt                                   time.Time
-	told                                     int64
+	sent, received tally
+	dropped        [len(reasons)]atomic.Int64
+	toldAt         time.Time
+	told           int64
 }
 
 // reasons for which datagrams are dropped.
@@ -235,8 +235,7 @@
 		s.drop(dropUnsent) // as if it had been lost on the way
 		return
 	}
-	s.sent.Add(1)
-	s.sentBytes.Add(int64(len(b)))
+	s.sent.add(d.Packet.Kind, len(b))
 }
 
 func (s *Service) drop(reason int) { s.dropped[reason].Add(1) }
@@ -260,18 +259,19 @@
 			}
 			continue // an earlier datagram was refused: nobody is at its address
 		}
-		s.received.Add(1)
-		s.receivedBytes.Add(int64(n))
 		addr, err := netip.ParseAddrPort(from.String())
 		if err != nil || !s.allowed(addr.Addr()) {
+			s.received.add(0, n)
 			s.drop(dropAddress)
 			continue
 		}
 		p, err := wire.Decode(s.mark, b[:n])
 		if err != nil {
+			s.received.add(0, n)
 			s.drop(reasonOf(err))
 			continue
 		}
+		s.received.add(p.Kind, n)
 		select {
 		case inbox <- datagram{addr.String(), p}:
 		default:
--- a/internal/fleet/gossip/report.go
+++ b/internal/fleet/gossip/report.go
@@ -98,18 +98,20 @@
 	if v.Whole() {
 		whole = 1
 	}
-	return []control.Family{members,
+	t := s.Traffic()
+	sent, received := total(t.Sent), total(t.Received)
+	return append([]control.Family{members,
 		control.One("gw_fleet_whole", "1 while nothing in the view needs an operator.", true, whole),
 		control.One("gw_fleet_health", "0: this node trusts itself; up to 8: it doubts itself.", true, int64(v.Health)),
 		control.One("gw_fleet_suspicions", "Members suspected.", false, v.Counts.Suspicions),
 		control.One("gw_fleet_refutations", "Times that this node has refuted its own death.", false, v.Counts.Refutations),
 		control.One("gw_fleet_deaths", "Members held for dead.", false, v.Counts.Deaths),
-		control.One("gw_fleet_datagrams_sent", "Datagrams sent.", false, s.sent.Load()),
-		control.One("gw_fleet_datagrams_received", "Datagrams received.", false, s.received.Load()),
-		control.One("gw_fleet_bytes_sent", "Bytes sent in datagrams.", false, s.sentBytes.Load()),
-		control.One("gw_fleet_bytes_received", "Bytes received in datagrams.", false, s.receivedBytes.Load()),
+		control.One("gw_fleet_datagrams_sent", "Datagrams sent.", false, sent.Datagrams),
+		control.One("gw_fleet_datagrams_received", "Datagrams received.", false, received.Datagrams),
+		control.One("gw_fleet_bytes_sent", "Bytes sent in datagrams.", false, sent.Bytes),
+		control.One("gw_fleet_bytes_received", "Bytes received in datagrams.", false, received.Bytes),
 		control.One("gw_fleet_oldest_fact_ms", "Age of the oldest fact on a worker that a member tells.", true, oldest.Milliseconds()),
 		control.One("gw_fleet_changed_ms", "Time since the view last changed.", true, (v.Now - v.Changed).Milliseconds()),
 		drops,
-	}
+	}, s.trafficFigures()...)
 }
--- /dev/null
+++ b/internal/fleet/gossip/traffic.go
@@ -0,0 +1,96 @@
+package gossip
+
+import (
+	"sync/atomic"
+
+	"swiftdeal/internal/control"
+	"swiftdeal/internal/fleet/wire"
+)
+
+// Count is so many datagrams, with their bytes.
+type Count struct {
+	Datagrams int64 `json:"n"`
+	Bytes     int64 `json:"b"`
+}
+
+// Traffic is what a service has sent and received since its start, by what the datagrams are for: the index is the kind, and what
+// could not be read counts at 0.
+type Traffic struct {
+	Sent, Received [wire.Kinds]Count
+}
+
+// tally counts the traffic while others read it.
+type tally struct {
+	datagrams, bytes [wire.Kinds]atomic.Int64
+}
+
+func (t *tally) add(k wire.Kind, bytes int) {
+	if int(k) >= len(t.bytes) { // a kind of a later program
+		k = 0
+	}
+	t.datagrams[k].Add(1)
+	t.bytes[k].Add(int64(bytes))
+}
+
+func (t *tally) counts() (list [wire.Kinds]Count) {
+	for k := range list {
+		list[k] = Count{t.datagrams[k].Load(), t.bytes[k].Load()}
+	}
+	return list
+}
+
+// Traffic returns the counts as they stand.
+func (s *Service) Traffic() (t Traffic) {
+	if s != nil {
+		t.Sent, t.Received = s.sent.counts(), s.received.counts()
+	}
+	return t
+}
+
+// Sizes is how much a service holds.
+type Sizes struct {
+	Members   [wire.Left + 1]int // by status, this node among them
+	News      int                // claims and records that are to be passed on
+	Probes    int
+	Errands   int
+	Displaced bool // it keeps out of the fleet, since another one goes by its name
+}
+
+// Sizes returns how much is held; ok is false while the service does not take part. It costs less than a View.
+func (s *Service) Sizes() (z Sizes, ok bool) {
+	if s == nil {
+		return z, false
+	}
+	ok = s.ask(func() {
+		z.Members, z.Displaced = s.core.Tally()
+		_, z.News, z.Probes, z.Errands = s.core.Sizes()
+	})
+	return z, ok
+}
+
+// trafficFigures words the traffic; the kinds that have been seen.
+func (s *Service) trafficFigures() []control.Family {
+	t := s.Traffic()
+	family := func(name, help string, of [wire.Kinds]Count, value func(Count) int64) control.Family {
+		f := control.Family{Name: name, Help: help, Label: "kind"}
+		for k, c := range of {
+			f.Rows = append(f.Rows, control.Row{Of: wire.Kind(k).String(), Value: value(c)})
+		}
+		return f
+	}
+	datagrams, bytes := func(c Count) int64 { return c.Datagrams }, func(c Count) int64 { return c.Bytes }
+	return []control.Family{
+		family("gw_fleet_kind_datagrams_sent", "Datagrams sent, by kind.", t.Sent, datagrams),
+		family("gw_fleet_kind_datagrams_received", "Datagrams received, by kind.", t.Received, datagrams),
+		family("gw_fleet_kind_bytes_sent", "Bytes sent in datagrams, by kind.", t.Sent, bytes),
+		family("gw_fleet_kind_bytes_received", "Bytes received in datagrams, by kind.", t.Received, bytes),
+	}
+}
+
+// total sums the kinds.
+func total(of [wire.Kinds]Count) (sum Count) {
+	for _, c := range of {
+		sum.Datagrams, sum.Bytes = sum.Datagrams+c.Datagrams, sum.Bytes+c.Bytes
+	}
+	return sum
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -405,6 +405,19 @@
 	return len(k.list), len(k.news), len(k.probes), len(k.errands)
 }
 
+// Tally counts the members by their status, this node among them, and says whether it keeps out of the fleet.
+func (k *Core) Tally() (by [wire.Left + 1]int, displaced bool) {
+	own := wire.Alive
+	if k.left {
+		own = wire.Left
+	}
+	by[own]++
+	for _, p := range k.list {
+		by[p.status]++
+	}
+	return by, k.displaced
+}
+
 // Set takes what the node says of itself. A change of state is passed on at once, the rest with the next digest.
 func (k *Core) Set(now time.Duration, s wire.State, d wire.Digest, facts []wire.Fact) {
 	k.now = max(k.now, now)
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -53,7 +53,10 @@
 	Answer                    // to an Ask
 )
 
-var kinds = [...]string{"", "ping", "ack", "nack", "ping-req", "gossip", "hello", "challenge", "welcome", "summary", "tell", "want", "council", "ask", "answer"}
+// Kinds is how many kinds there are, with 0 for none.
+const Kinds = int(Answer) + 1
+
+var kinds = [Kinds]string{"", "ping", "ack", "nack", "ping-req", "gossip", "hello", "challenge", "welcome", "summary", "tell", "want", "council", "ask", "answer"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
