CAPACITY.md is written from recorded scale runs, and a test holds it to them

The operators want each role's figures at their size, from measured slopes. internal/scale/page renders the tables between markers from bench/scale; internal/scale/chart draws the runs; tools/scale has fit, plot and page. No run exists yet: every figure says 'not run'.

--- a/internal/scale/fit/fit.go
+++ b/internal/scale/fit/fit.go
@@ -43,6 +43,9 @@
 // Bound is the error past which a slope has failed to foresee the largest size.
 const Bound = 0.25
 
+// nought is what rounding alone comes to, as a share of a value.
+const nought = 1e-9
+
 // least is how many sizes a slope needs: two parameters, and one to hold them against.
 const least = 3
 
@@ -71,14 +74,13 @@
 	}
 	var best *Slope
 	var alone [3]float64
-	const nought = 1e-9 // what rounding alone comes to
 	for f := Constant; f <= NLogN; f++ {
 		s, err := As(f, size, value)
 		if err != nil {
 			return nil, err
 		}
 		alone[f] = s.Alone[f]
-		if best == nil || alone[best.Form] > nought && alone[f] < Better*alone[best.Form] {
+		if best == nil || alone[f] < Better*alone[best.Form] {
 			best = s
 		}
 	}
@@ -136,6 +138,9 @@
 		}
 	}
 	s.Residual, s.Relative, s.Alone[f] = math.Sqrt(s.Residual), math.Sqrt(s.Relative), math.Sqrt(s.Alone[f])
+	if s.Relative < nought { // the same figures on every machine
+		s.Residual, s.Relative, s.Alone[f] = 0, 0, 0
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/scale/page/rows.go
@@ -0,0 +1,92 @@
+package page
+
+// Row is one figure of the page: what it is, which series of which run it comes from, what limits it, and what carries it.
+type Row struct {
+	Table     string   // "node", "worker", "discovery", "seat", "tool"
+	What      string   // in words
+	Run       string   // file under bench/scale/, without .json
+	Role      string   // in the run
+	Metrics   []string // summed where there are several
+	Statistic string   // "median", "worst" or "mean" over the role's members
+	Limit     float64  // in the run's unit; 0: none is told
+	Unit      string   // that the run must have
+	By        string   // the package that carries it; empty: nothing does
+	Why       string   // why nothing carries it, or what is to be known of the limit
+}
+
+// Limits as the operators worded them: what a node spends for control at most. MB and KB count thousands.
+const (
+	coreLimit   = 0.049
+	memoryLimit = 128e6
+	bytesLimit  = 9e3
+)
+
+// Targets are the sizes at which figures are given, by what a run's sizes count. That of the nodes is not told.
+var Targets = map[string][]float64{
+	"members": {100, 335, 1000}, "workers": {670}, "tenants": {160}, "running": {2500}, "starts": {110}, "jobs": {8400},
+	"zones": {8}, "regions": {3}, "changes": {380}, "gang": {64},
+}
+
+const (
+	view    = "internal/fleet/member, gossip"
+	council = "internal/fleet/council, accord"
+)
+
+// Rows are all figures of the page; one more is one line more.
+var Rows = []Row{
+	{"node", "bytes sent and received", "members", "hollow", []string{"sent_bytes_s", "received_bytes_s"}, "worst", bytesLimit, "B/s", view, ""},
+	{"node", "bytes sent", "members", "hollow", []string{"sent_bytes_s"}, "worst", bytesLimit, "B/s", view, "if only what it sends counts"},
+	{"node", "messages sent", "members", "hollow", []string{"sent_msgs_s"}, "worst", 0, "1/s", view, ""},
+	{"node", "processor time", "members", "hollow", []string{"cpu_core"}, "worst", coreLimit, "core", view, ""},
+	{"node", "memory, a process of its own", "members", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node", ""},
+	{"node", "state: heap", "members", "hollow", []string{"heap_bytes"}, "worst", memoryLimit, "B", view, ""},
+	{"node", "state: members held", "members", "hollow", []string{"entries:members"}, "worst", 4096, "entries", view, "view.most_members may be set so high"},
+	{"node", "state: workers held", "workers", "real", []string{"entries:workers"}, "worst", 0, "entries", "internal/config, balance", ""},
+	{"node", "memory", "workers", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node, balance", ""},
+	{"node", "processor time", "workers", "real", []string{"cpu_core"}, "worst", coreLimit, "core", "internal/upstream, route", ""},
+	{"worker", "requests, probes among them", "workers", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
+	{"worker", "bytes received", "workers", "worker", []string{"received_bytes_s"}, "worst", 0, "B/s", "internal/send", ""},
+	{"worker", "requests, probes among them", "members", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
+	{"worker", "connections held", "members", "worker", []string{"entries:connections"}, "worst", 0, "entries", "internal/send", ""},
+	{"discovery", "watches held", "members", "discovery", []string{"entries:watches"}, "worst", 0, "entries", "internal/upstream", ""},
+	{"discovery", "bytes sent", "members", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
+	{"discovery", "bytes sent", "workers", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
+	{"seat", "bytes sent and received", "members", "seat", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 0, "B/s", council, ""},
+	{"seat", "messages sent", "members", "seat", []string{"sent_msgs_s"}, "worst", 0, "1/s", council, ""},
+	{"seat", "processor time", "members", "seat", []string{"cpu_core"}, "worst", 0, "core", council, ""},
+	{"seat", "memory", "members", "seat", []string{"rss_bytes"}, "worst", 0, "B", council, ""},
+	{"seat", "state: heap", "members", "seat", []string{"heap_bytes"}, "worst", 0, "B", council, ""},
+	{"tool", "one look at the fleet: bytes", "members", "tool", []string{"received_bytes"}, "worst", 0, "B", "cmd/swiftdeal, internal/control", ""},
+	{"tool", "one look at the fleet: time", "members", "tool", []string{"answer_s"}, "worst", 1, "s", "internal/control", "an answer is due within a second"},
+}
+
+// Gap is a word of the target that nothing carries, or a part of it.
+type Gap struct {
+	What, Why string
+}
+
+// Gaps stand at the head of the ranking: they fail at any size.
+var Gaps = []Gap{
+	{"quotas of 160 tenants", "no request says whose it is and no setting names a tenant: there is no share within a node, nor across the fleet"},
+	{"gang scheduling, up to 64 tasks", "a request goes to one worker (`balance`): it may take several of that worker's slots, never several workers at once, all or none"},
+	{"a priority class whose tasks start within 1.1 s", "held requests go by the time left to their class's aim (`balance`); no class goes before another, nothing that runs gives way, and a late start is not counted by class"},
+	{"3 regions", "`internal/fleet` knows sites, of one level: no budget, seat rule or timing is for a region"},
+	{"a rack or switch as a failure domain", "neither the view's records nor discovery's list name one: budgets cannot keep its members apart"},
+	{"changes of configuration in force everywhere within 8 s", "each node reads its own file at SIGHUP (`internal/node`); nothing agrees on a change, brings it to the fleet or tells where it is in force"},
+	{"machines set aside for control", "a seat of the council is a node that serves clients too (`internal/node`): there is no process for control alone"},
+	{"jobs that outlive a node, a client's connection or an hour", "a request lives with its connection and ends with it, after an hour at the latest (`internal/takein`): nothing queues, keeps or starts it again"},
+}
+
+// Fault is a line of the operators' list of failures, with the run that shows it.
+type Fault struct {
+	What, Run, By string
+}
+
+// Faults of the operators' list.
+var Faults = []Fault{
+	{"3 machines fail on an ordinary day", "faults-machine", "`internal/fleet/member`, `balance`, `internal/fleet/accord` (a spare takes a seat)"},
+	{"47 are restarted or replaced on an ordinary day", "faults-restart", "`internal/fleet/permit`, `rollout`, `internal/handover`"},
+	{"a rack or switch, every month or two", "faults-rack", "`internal/fleet/member`, `balance`; nothing knows of racks"},
+	{"a zone, once or twice a year", "faults-zone", "`internal/fleet/member`, `balance`, `internal/fleet/permit` (nothing planned meanwhile)"},
+	{"regions lose each other for an hour", "faults-region", "`internal/fleet/member` (both parts find one another), `accord` (the part with a majority decides)"},
+}
--- /dev/null
+++ b/internal/scale/page/tables.go
@@ -0,0 +1,510 @@
+package page
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"swiftdeal/internal/scale/fit"
+	"swiftdeal/internal/scale/record"
+)
+
+const notRun = "not run"
+
+// series is a row's, read from its run.
+type series struct {
+	Row
+	run         *record.Run // nil: not run
+	size, value []float64
+	slope       *fit.Slope // nil: why says
+	why         string
+	check       fit.Check
+	differ      []gap // of hollow from real members, where both were measured
+}
+
+// gap is how far hollow members are from real ones at a size.
+type gap struct{ size, difference float64 }
+
+// read finds a row's series. That the run is missing, or does not hold the metric, is no error: the page says so.
+func read(row Row, runs map[string]*record.Run) (*series, error) {
+	s := &series{Row: row, run: runs[row.Run], why: notRun}
+	if s.run == nil {
+		return s, nil
+	}
+	var err error
+	if s.size, s.value, err = sum(s.run, row.Role, row); err != nil {
+		return nil, err
+	}
+	if len(s.size) == 0 {
+		s.why = "not in this run"
+		return s, nil
+	}
+	if s.slope, err = fit.Fit(s.size, s.value); err != nil {
+		s.why = err.Error()
+	} else {
+		s.check = fit.Quarter(s.size, s.value, s.slope.Form)
+	}
+	for _, pair := range [][2]string{{"hollow", "real"}} {
+		if row.Role != pair[0] && row.Role != pair[1] {
+			continue
+		}
+		an, av, err := sum(s.run, pair[0], row)
+		if err != nil {
+			return nil, err
+		}
+		bn, bv, err := sum(s.run, pair[1], row)
+		if err != nil {
+			return nil, err
+		}
+		for i, n := range an {
+			if j := slices.Index(bn, n); j >= 0 {
+				s.differ = append(s.differ, gap{n, fit.Difference(av[i], bv[j])})
+			}
+		}
+	}
+	return s, nil
+}
+
+// sum returns the sum of a row's metrics over the sizes that have all of them.
+func sum(run *record.Run, role string, row Row) (size, value []float64, err error) {
+	for k, metric := range row.Metrics {
+		n, v, unit := run.Series(role, metric, row.Statistic)
+		if len(n) > 0 && unit != row.Unit {
+			return nil, nil, fmt.Errorf("run %s: %s of %s is in %s, the row %q wants %s", run.Name, metric, role, unit, row.What, row.Unit)
+		}
+		if k == 0 {
+			size, value = n, v
+			continue
+		}
+		var both, total []float64
+		for i, at := range size {
+			if j := slices.Index(n, at); j >= 0 {
+				both, total = append(both, at), append(total, value[i]+v[j])
+			}
+		}
+		size, value = both, total
+	}
+	return size, value, nil
+}
+
+// at is the figure at a size: what was measured there, or what a slope that holds foretells. There is no other.
+func (s *series) at(n float64) (value, spread float64, measured, ok bool) {
+	if i := slices.Index(s.size, n); i >= 0 {
+		return s.value[i], 0, true, true
+	}
+	if s.slope == nil || s.check.Verdict != fit.Holds {
+		return 0, 0, false, false
+	}
+	value, spread = s.slope.At(n)
+	return value, spread, false, true
+}
+
+func (s *series) cell(n float64) string {
+	v, spread, measured, ok := s.at(n)
+	switch {
+	case ok && measured:
+		return "**" + Number(v, s.Unit) + "**"
+	case ok && math.IsNaN(spread):
+		return Number(v, s.Unit)
+	case ok:
+		return Number(v, s.Unit) + " ± " + Number(spread, s.Unit)
+	case s.slope == nil:
+		return s.why
+	}
+	return "slope " + s.check.Verdict.String()
+}
+
+func (s *series) ratio(n float64) string {
+	v, _, _, ok := s.at(n)
+	if s.Limit == 0 || !ok {
+		return "–"
+	}
+	return percent(v / s.Limit)
+}
+
+func (s *series) limit() string {
+	if s.Limit == 0 {
+		return "none told"
+	}
+	return cmp.Or(s.Why, "") + tail(s.Why) + Number(s.Limit, s.Unit)
+}
+
+func tail(why string) string {
+	if why == "" {
+		return ""
+	}
+	return ": "
+}
+
+func (s *series) carrier() string {
+	if s.By == "" {
+		return "nothing carries this: " + s.Why
+	}
+	return "`" + s.By + "`"
+}
+
+func (s *series) formula() string {
+	if s.slope == nil {
+		return "–"
+	}
+	b := Number(s.slope.B, s.Unit)
+	switch s.slope.Form {
+	case fit.Linear:
+		return Number(s.slope.A, s.Unit) + " + " + b + " · n"
+	case fit.NLogN:
+		return Number(s.slope.A, s.Unit) + " + " + b + " · n log₂ n"
+	}
+	return Number(s.slope.A, s.Unit)
+}
+
+func (s *series) source() string {
+	if s.run == nil {
+		return "`" + Dir + "/" + s.Run + ".json`: " + notRun
+	}
+	return fmt.Sprintf("[%s](../%s/%s.json), %s, %s", s.Run, Dir, s.Run, s.Role, s.Statistic)
+}
+
+func sizes(list []float64) string {
+	if len(list) == 0 {
+		return "–"
+	}
+	words := make([]string, len(list))
+	for i, n := range list {
+		words[i] = Plain(n)
+	}
+	return strings.Join(words, ", ")
+}
+
+// Plain words a number as it is counted: thousands parted, at most three digits after the point.
+func Plain(v float64) string {
+	switch {
+	case math.IsNaN(v) || math.IsInf(v, 0):
+		return "–"
+	case v != math.Trunc(v) || math.Abs(v) < 1000:
+		return strconv.FormatFloat(v, 'g', 6, 64)
+	}
+	s := strconv.FormatFloat(math.Abs(v), 'f', 0, 64)
+	for i := len(s) - 3; i > 0; i -= 3 {
+		s = s[:i] + "," + s[i:]
+	}
+	if v < 0 {
+		s = "-" + s
+	}
+	return s
+}
+
+// Number words a value with its unit, to three digits.
+func Number(v float64, unit string) string {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return "–"
+	}
+	three := func(v float64) string {
+		if a := math.Abs(v); a >= 100 || a == 0 {
+			return Plain(math.Round(v))
+		}
+		return strconv.FormatFloat(v, 'g', 3, 64)
+	}
+	steps := func(v float64, units ...string) string {
+		i := 0
+		for i < len(units)-1 && math.Abs(v) >= 999.5 {
+			v, i = v/1000, i+1
+		}
+		return three(v) + " " + units[i]
+	}
+	switch unit {
+	case "B":
+		return steps(v, "B", "KB", "MB", "GB")
+	case "B/s":
+		return steps(v, "B/s", "KB/s", "MB/s", "GB/s")
+	case "s":
+		if math.Abs(v) < 0.9995 && v != 0 {
+			return steps(v*1e9, "ns", "µs", "ms")
+		}
+		return three(v) + " s"
+	case "core":
+		return three(100*v) + "% of a core"
+	case "1/s":
+		return three(v) + "/s"
+	case "entries", "":
+		return three(v)
+	}
+	return three(v) + " " + unit
+}
+
+func percent(v float64) string {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return "–"
+	}
+	return strconv.FormatFloat(100*v, 'f', 1, 64) + "%"
+}
+
+// grid is a table in the making.
+type grid struct{ strings.Builder }
+
+func (g *grid) row(cells ...string) {
+	for i, c := range cells {
+		cells[i] = strings.ReplaceAll(c, "|", "\\|")
+	}
+	g.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+func (g *grid) head(cells ...string) {
+	if g.Len() > 0 {
+		g.WriteString("\n")
+	}
+	g.row(cells...)
+	g.WriteString("|" + strings.Repeat(" --- |", len(cells)) + "\n")
+}
+
+// sweep is what a row's sizes count; that of a run which is not there goes by its name.
+func (s *series) sweep() string {
+	if s.run != nil {
+		return s.run.Sweep
+	}
+	return s.Run
+}
+
+// Tables renders every table of the page.
+func Tables(runs map[string]*record.Run) (map[string]string, error) { return tables(Rows, runs) }
+
+func tables(rows []Row, runs map[string]*record.Run) (map[string]string, error) {
+	var all []*series
+	for _, r := range rows {
+		s, err := read(r, runs)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	out := map[string]string{
+		"slopes": slopes(all), "honesty": honesty(all), "ranking": ranking(all), "runs": list(runs),
+		"faults": faults(runs), "changes": plain(runs, "changes"), "decision": plain(runs, "decision"),
+	}
+	for _, name := range []string{"node", "worker", "discovery", "seat", "tool"} {
+		out[name] = role(name, all)
+	}
+	return out, nil
+}
+
+// role is the table of one role: first what grows with the nodes, then what grows with something else.
+func role(name string, all []*series) string {
+	var g grid
+	for _, members := range []bool{true, false} {
+		first := true
+		for _, s := range all {
+			if s.Table != name || (s.sweep() == "members") != members {
+				continue
+			}
+			switch {
+			case first && members:
+				g.head("what", "N = 100", "N = 335", "N = 1,000", "limit", "of the limit at N = 1,000", "slope", "sizes", "from", "carried by")
+			case first:
+				g.head("what", "at", "figure", "limit", "of the limit", "slope", "sizes", "from", "carried by")
+			}
+			first = false
+			if members {
+				g.row(s.What, s.cell(100), s.cell(335), s.cell(1000), s.limit(), s.ratio(1000), s.formula(), sizes(s.size), s.source(), s.carrier())
+				continue
+			}
+			for _, n := range Targets[s.sweep()] {
+				g.row(s.What, Plain(n)+" "+s.sweep(), s.cell(n), s.limit(), s.ratio(n), s.formula(), sizes(s.size), s.source(), s.carrier())
+			}
+		}
+	}
+	return g.String()
+}
+
+// label names a series in the tables on slopes.
+func (s *series) label() string { return s.Table + ": " + s.What + " over " + s.sweep() }
+
+func slopes(all []*series) string {
+	var g grid
+	g.head("slope", "form", "residual", "of the values", "missed leaving one out: constant, linear, n log n", "fitted on", "foretold for the largest", "measured", "error", "verdict")
+	for _, s := range all {
+		if s.slope == nil {
+			g.row(s.label(), s.why, "–", "–", "–", "–", "–", "–", "–", "not used")
+			continue
+		}
+		c := s.check
+		on, foretold, missed := sizes(c.Sizes), Number(c.Predicted, s.Unit)+" at "+Plain(c.Largest), percent(c.Error)
+		if c.Given {
+			on += " (" + c.Form.String() + " given by all sizes)"
+		} else {
+			on += " (" + c.Form.String() + ")"
+		}
+		verdict := c.Verdict.String()
+		if c.Verdict == fit.TooFew {
+			on, foretold, missed = sizes(c.Sizes), "–", "–"
+		}
+		if c.Verdict != fit.Holds {
+			verdict = "**" + verdict + "**: not used"
+		}
+		a := s.slope.Alone
+		g.row(s.label(), s.slope.Form.String(), Number(s.slope.Residual, s.Unit), percent(s.slope.Relative), percent(a[0])+", "+percent(a[1])+", "+percent(a[2]),
+			on, foretold, Number(c.Measured, s.Unit), missed, verdict)
+	}
+	return g.String()
+}
+
+func honesty(all []*series) string {
+	var g grid
+	g.head("series", "sizes with both", "hollow against real", "widest", "verdict")
+	n := 0
+	for _, s := range all {
+		if len(s.differ) == 0 {
+			continue
+		}
+		n++
+		var at, differ []string
+		widest := 0.0
+		for _, d := range s.differ {
+			at, differ = append(at, Plain(d.size)), append(differ, percent(d.difference))
+			if math.Abs(d.difference) > math.Abs(widest) {
+				widest = d.difference
+			}
+		}
+		verdict := "alike"
+		if !(math.Abs(widest) <= fit.Bound) {
+			verdict = "**differ**"
+		}
+		g.row(s.label(), strings.Join(at, ", "), strings.Join(differ, ", "), percent(widest), verdict)
+	}
+	if n == 0 {
+		g.row(notRun, "–", "–", "–", "–")
+	}
+	return g.String()
+}
+
+// ranking lists what breaks its limit first as the fleet grows: what nothing carries, then by how many times the target a
+// slope that holds has to be gone up to reach the limit.
+func ranking(all []*series) string {
+	var g grid
+	g.head("place", "what", "breaks at", "times the target", "why")
+	place := 0
+	add := func(cells ...string) { place++; g.row(append([]string{strconv.Itoa(place)}, cells...)...) }
+	for _, x := range Gaps {
+		add(x.What, "any size", "–", "nothing carries it: "+x.Why)
+	}
+	type reach struct {
+		*series
+		at, times float64
+	}
+	var known []reach
+	var open []*series
+	for _, s := range all {
+		switch {
+		case s.By == "":
+			add(s.label(), "any size", "–", "nothing carries it: "+s.Why)
+		case s.Limit == 0:
+		case s.slope == nil || s.check.Verdict != fit.Holds:
+			open = append(open, s)
+		default:
+			r := reach{s, s.slope.Reaches(s.Limit), math.NaN()}
+			if t := Targets[s.sweep()]; len(t) > 0 {
+				r.times = r.at / t[len(t)-1]
+			}
+			known = append(known, r)
+		}
+	}
+	slices.SortStableFunc(known, func(a, b reach) int { return cmp.Compare(a.times, b.times) })
+	for _, r := range known {
+		at, times := Plain(math.Round(r.at))+" "+r.sweep(), strconv.FormatFloat(r.times, 'g', 3, 64)
+		switch {
+		case math.IsInf(r.at, 1) || r.at > 1e8:
+			at, times = "never by this slope", "–"
+		case r.at == 0:
+			at, times = "any size: above its limit from the first", "–"
+		}
+		add(r.label(), at, times, r.formula()+" against "+r.limit())
+	}
+	for _, s := range open {
+		why := s.why
+		if s.slope != nil {
+			why = "slope " + s.check.Verdict.String()
+		}
+		g.row("–", s.label(), "unknown", "–", why)
+	}
+	return g.String()
+}
+
+func list(runs map[string]*record.Run) string {
+	var g grid
+	g.head("run", "what grows", "sizes", "at", "commit", "machine", "ended early")
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		r := runs[name]
+		var at []float64
+		for _, p := range r.Points {
+			at = append(at, p.Size)
+		}
+		commit := r.Commit
+		if len(commit) > 10 {
+			commit = commit[:10]
+		}
+		if r.Dirty {
+			commit += ", with changes of its own"
+		}
+		g.row(fmt.Sprintf("[%s](../%s/%s.json)", name, Dir, name), r.Sweep, sizes(at), r.At.UTC().Format("2006-01-02 15:04"), commit,
+			fmt.Sprintf("%d cores, %s, %s", r.Machine.Cores, Number(float64(r.Machine.MemoryBytes), "B"), r.Machine.Go), cmp.Or(r.Failed, "no"))
+	}
+	if len(runs) == 0 {
+		g.row(notRun, "–", "–", "–", "–", "–", "–")
+	}
+	return g.String()
+}
+
+func (g *grid) points(r *record.Run, lead ...string) {
+	for _, p := range r.Points {
+		for _, role := range slices.Sorted(maps.Keys(p.Roles)) {
+			values := p.Roles[role].Values
+			for _, metric := range slices.Sorted(maps.Keys(values)) {
+				v := values[metric]
+				g.row(append(slices.Clone(lead), Plain(p.Size)+" "+r.Sweep, role, metric, Number(v.Median, v.Unit), Number(v.Worst, v.Unit), strconv.Itoa(v.Count))...)
+			}
+		}
+	}
+	if r.Failed != "" {
+		g.row(append(slices.Clone(lead), "–", "–", "ended early: "+r.Failed, "–", "–", "–")...)
+	}
+}
+
+// faults shows the operators' list, each with its run, and then whatever else was run under such a name.
+func faults(runs map[string]*record.Run) string {
+	var g grid
+	g.head("what happens", "carried by", "run", "size", "role", "metric", "median", "worst", "of")
+	known := map[string]bool{}
+	for _, f := range Faults {
+		known[f.Run] = true
+		if r := runs[f.Run]; r != nil {
+			g.points(r, f.What, f.By, f.Run)
+		} else {
+			g.row(f.What, f.By, f.Run+": "+notRun, "–", "–", "–", "–", "–", "–")
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		if strings.HasPrefix(name, "faults") && !known[name] {
+			g.points(runs[name], cmp.Or(runs[name].Note, name), "–", name)
+		}
+	}
+	return g.String()
+}
+
+// plain shows all that runs of one kind hold.
+func plain(runs map[string]*record.Run, prefix string) string {
+	var g grid
+	g.head("run", "size", "role", "metric", "median", "worst", "of")
+	n := 0
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		if strings.HasPrefix(name, prefix) {
+			n++
+			g.points(runs[name], name)
+		}
+	}
+	if n == 0 {
+		g.row(prefix+": "+notRun, "–", "–", "–", "–", "–", "–")
+	}
+	return g.String()
+}
--- /dev/null
+++ b/tools/scale/main.go
@@ -0,0 +1,17 @@
+// Command scale works on scale runs: what nodes cost as the fleet grows (bench/scale), and the page on it (docs/CAPACITY.md).
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Fit  fitCmd  `cmd:"" help:"Fit slopes to a run and check them."`
+	Plot plotCmd `cmd:"" help:"Draw the runs' metrics over size."`
+	Page pageCmd `cmd:"" help:"Write the tables of the capacity page from the runs, or check them."`
+}
+
+func main() {
+	c := kong.Parse(&commands{}, kong.Description("Scale runs: slopes, pictures and the capacity page."), kong.UsageOnError())
+	c.FatalIfErrorf(c.Run())
+}
--- /dev/null
+++ b/tools/scale/plot.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"fmt"
+
+	"swiftdeal/internal/scale/chart"
+	"swiftdeal/internal/scale/record"
+)
+
+type plotCmd struct {
+	Runs string `default:"bench/scale" help:"Folder of the runs."`
+	To   string `default:"bench/scale/plots" help:"Folder for the pictures; older ones there are taken away."`
+}
+
+func (p plotCmd) Run() error {
+	runs, err := record.ReadAll(p.Runs)
+	if err != nil {
+		return err
+	}
+	n, err := chart.Write(p.To, runs)
+	if err == nil {
+		fmt.Printf("%d pictures of %d runs\n", n, len(runs))
+	}
+	return err
+}
