Views of a simulated fleet are compared without words for each entry

Entries are compared as they are, and only what differs is worded. TestSettledIsCheap counts allocations.

--- a/internal/sim/views/views_test.go
+++ b/internal/sim/views/views_test.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// A look at all views costs little for each entry: with 1,000 members there are a million of them, and Measure looks again
+// and again. Words for each entry, put together for each view, grew with the third power of the members.
+func TestSettledIsCheap(t *testing.T) {
+	const n = 60
+	p := with(quietNet(n, 1e3), func(p *Plan) { p.Seed = 1 })
+	w := build(&p, false)
+	for i := range n {
+		w.start(i, addr(i), false, false)
+	}
+	w.until(periods(60), nil)
+	if why := w.settled(); why != "" {
+		t.Fatal(why)
+	}
+	if got := testing.AllocsPerRun(3, func() { w.settled() }); got > n*n/2 {
+		t.Errorf("%.0f allocations for %d entries", got, n*n)
+	}
+}
+
 // Plans that cannot be played name what is wrong, and where.
 func TestBadPlans(t *testing.T) {
 	good, err := json.Marshal(Draw(46))
--- a/internal/sim/views/world.go
+++ b/internal/sim/views/world.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -376,7 +377,7 @@
 // settled tells what is not yet right in the views; empty: all are right and equal.
 func (w *World) settled() string {
 	var first *proc
-	var want string
+	var want, got []member.Member // the living, by name
 	for _, p := range w.procs {
 		if p == nil || !p.up {
 			continue
@@ -385,7 +386,7 @@
 			return p.name + " stands still"
 		}
 		v := p.core.View()
-		got := ""
+		got = got[:0]
 		for _, m := range v.Members {
 			i := w.index(m.Name)
 			o := w.procs[i]
@@ -399,14 +400,14 @@
 				return fmt.Sprintf("%s holds %s, which is gone, for %v", p.name, m.Name, m.Status)
 			}
 			if up {
-				got += fmt.Sprintf("%s %x/%d %v %s\n", m.Name, m.Life, m.Inc, m.State, m.Addr)
+				got = append(got, m)
 			}
 		}
 		if v.Displaced {
 			return p.name + " is displaced though no other process goes by its name"
 		}
 		if first == nil {
-			first, want = p, got
+			first, want = p, slices.Clone(got)
 			n := 0
 			for _, o := range w.procs {
 				if o != nil && o.up {
@@ -422,21 +423,33 @@
 			if alive != n {
 				return fmt.Sprintf("%s sees %d of %d", p.name, alive, n)
 			}
-		} else if got != want {
-			a, b := strings.Split(want, "\n"), strings.Split(got, "\n")
-			for i := range min(len(a), len(b)) {
-				if a[i] != b[i] {
-					return fmt.Sprintf("the views of %s and %s differ: %q, %q", first.name, p.name, a[i], b[i])
-				}
+			continue
+		}
+		for i := range min(len(want), len(got)) {
+			if a, b := &want[i], &got[i]; a.Ident != b.Ident || a.State != b.State || a.Addr != b.Addr {
+				return fmt.Sprintf("the views of %s and %s differ: %q, %q", first.name, p.name, worded(a), worded(b))
 			}
-			return fmt.Sprintf("the views of %s and %s differ: %d, %d", first.name, p.name, len(a), len(b))
+		}
+		if i := min(len(want), len(got)); len(want) != len(got) {
+			a, b := "", ""
+			if i < len(want) {
+				a = worded(&want[i])
+			} else {
+				b = worded(&got[i])
+			}
+			return fmt.Sprintf("the views of %s and %s differ: %q, %q", first.name, p.name, a, b)
 		}
 	}
 	return ""
 }
 
-func (w *World) index(n string) (i int) {
-	fmt.Sscanf(n, "n%d", &i)
+// worded is what views are compared by. It is made only of what differs: there are as many entries as pairs of members.
+func worded(m *member.Member) string {
+	return fmt.Sprintf("%s %x/%d %v %s", m.Name, m.Life, m.Inc, m.State, m.Addr)
+}
+
+func (w *World) index(n string) int {
+	i, _ := strconv.Atoi(strings.TrimPrefix(n, "n"))
 	return i
 }
 
