--- a/internal/sim/views/scenarios.go
+++ b/internal/sim/views/scenarios.go
@@ -197,18 +197,22 @@
 	MemberPeriods              float64
 }
 
-// digests has a process tell another load every period, as nodes do.
+// digests has a process tell another load about every period, as nodes do.
 func (w *World) digests(p *proc) {
 	r := source(w.plan.Seed, 5000+uint64(p.serial))
-	w.at(w.now+time.Duration(r.Float64()*float64(Period)), func() {
-		if !p.up {
-			return
-		}
-		p.core.Set(w.now-p.base, wire.Serving, wire.Digest{Open: r.Uint32N(500), Served: r.Float32() * 50, Refused: r.Float32(), Workers: 40,
-			Room: map[string]int32{"slot-check": r.Int32N(100), "book-visit": r.Int32N(100), "visit-summary": r.Int32N(100), "send-reminder": r.Int32N(100)}}, nil)
-		w.after(p)
-		w.digests(p)
-	})
+	var next func()
+	next = func() { // all draws are of one source: from a new one each time every wait and every load would be the same
+		w.at(w.now+time.Duration((0.5+r.Float64())*float64(Period)), func() {
+			if !p.up {
+				return
+			}
+			p.core.Set(w.now-p.base, wire.Serving, wire.Digest{Open: r.Uint32N(500), Served: r.Float32() * 50, Refused: r.Float32(), Workers: 40,
+				Room: map[string]int32{"slot-check": r.Int32N(100), "book-visit": r.Int32N(100), "visit-summary": r.Int32N(100), "send-reminder": r.Int32N(100)}}, nil)
+			w.after(p)
+			next()
+		})
+	}
+	next()
 }
 
 // Measure plays crashes, a split, and a calm stretch.
--- a/internal/sim/views/views_test.go
+++ b/internal/sim/views/views_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// A measured fleet's loads change, about once a period: a process that drew the same short wait again and again took most of
+// the steps.
+func TestDigestsChange(t *testing.T) {
+	p := with(quietNet(2, 1e3), func(p *Plan) { p.Seed = 1 })
+	w := build(&p, false)
+	for i := range 2 {
+		w.digests(w.start(i, addr(i), false, false))
+	}
+	told := map[uint32]bool{}
+	for range 8 {
+		w.until(w.now+periods(10), nil)
+		told[w.procs[0].core.Self().Digest.Open] = true
+	}
+	if len(told) < 4 {
+		t.Errorf("%d loads told in 80 periods", len(told))
+	}
+}
+
 // Plans that cannot be played name what is wrong, and where.
 func TestBadPlans(t *testing.T) {
 	good, err := json.Marshal(Draw(46))
