The decision module's and the view's benchmarks have their rows on the page

The runs of the benchmarks have kinds (ns:decide) and sizes of nought. Where no slope holds, the ranking takes the first size measured above its limit. Packages pass with -race.

--- a/internal/scale/fit/fit.go
+++ b/internal/scale/fit/fit.go
@@ -36,9 +36,10 @@
 }
 
 // Better is what the error of a richer form, each point foretold by the others, has to come to at most, as a share of the
-// simpler one's: below it the richer one is taken. Leave-one-out decides rather than corrected AIC, which has no value for a
+// simpler one's: below it the richer one is taken. Few sizes and some noise often make a richer form look a little better; a third
+// less is clear. A form that misses by more than Bound has no such claim: any that does better is taken. Leave-one-out decides rather than corrected AIC, which has no value for a
 // form of two parameters on four sizes, and four is what some runs have.
-const Better = 0.8
+const Better = 2.0 / 3
 
 // Bound is the error past which a slope has failed to foresee the largest size.
 const Bound = 0.25
@@ -80,7 +81,7 @@
 			return nil, err
 		}
 		alone[f] = s.Alone[f]
-		if best == nil || alone[f] < Better*alone[best.Form] {
+		if best == nil || alone[f] < Better*alone[best.Form] || alone[best.Form] > Bound && alone[f] < alone[best.Form] {
 			best = s
 		}
 	}
@@ -149,7 +150,7 @@
 		return fmt.Errorf("%d sizes and %d values", len(size), len(value))
 	}
 	for i := range size {
-		if !(size[i] > 0) || math.IsInf(size[i], 0) || math.IsNaN(value[i]) || math.IsInf(value[i], 0) {
+		if !(size[i] >= 0) || math.IsInf(size[i], 0) || math.IsNaN(value[i]) || math.IsInf(value[i], 0) {
 			return fmt.Errorf("size %g, value %g: not a measurement", size[i], value[i])
 		}
 	}
--- a/internal/scale/page/rows.go
+++ b/internal/scale/page/rows.go
@@ -2,9 +2,10 @@
 
 // Row is one figure of the page: what it is, which series of which run it comes from, what limits it, and what carries it.
 type Row struct {
-	Table     string   // "node", "worker", "discovery", "seat", "tool"
+	Table     string   // "node", "worker", "discovery", "seat", "tool", "decision"
 	What      string   // in words
 	Run       string   // file under bench/scale/, without .json
+	Sweep     string   // what its sizes count
 	Role      string   // in the run
 	Metrics   []string // summed where there are several
 	Statistic string   // "median", "worst" or "mean" over the role's members
@@ -23,8 +24,9 @@
 
 // Targets are the sizes at which figures are given, by what a run's sizes count. That of the nodes is not told.
 var Targets = map[string][]float64{
-	"members": {100, 335, 1000}, "workers": {670}, "tenants": {160}, "running": {2500}, "starts": {110}, "jobs": {8400},
+	"members": {100, 335, 1000}, "nodes": {100, 335, 1000}, "workers": {670}, "tenants": {160}, "running": {2500}, "starts": {110}, "jobs": {8400},
 	"zones": {8}, "regions": {3}, "changes": {380}, "gang": {64},
+	"queue": {110}, // the starts of a second of the peak
 }
 
 const (
@@ -34,30 +36,39 @@
 
 // Rows are all figures of the page; one more is one line more.
 var Rows = []Row{
-	{"node", "bytes sent and received", "members", "hollow", []string{"sent_bytes_s", "received_bytes_s"}, "worst", bytesLimit, "B/s", view, ""},
-	{"node", "bytes sent", "members", "hollow", []string{"sent_bytes_s"}, "worst", bytesLimit, "B/s", view, "if only what it sends counts"},
-	{"node", "messages sent", "members", "hollow", []string{"sent_msgs_s"}, "worst", 0, "1/s", view, ""},
-	{"node", "processor time", "members", "hollow", []string{"cpu_core"}, "worst", coreLimit, "core", view, ""},
-	{"node", "memory, a process of its own", "members", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node", ""},
-	{"node", "state: heap", "members", "hollow", []string{"heap_bytes"}, "worst", memoryLimit, "B", view, ""},
-	{"node", "state: members held", "members", "hollow", []string{"entries:members"}, "worst", 4096, "entries", view, "view.most_members may be set so high"},
-	{"node", "state: workers held", "workers", "real", []string{"entries:workers"}, "worst", 0, "entries", "internal/config, balance", ""},
-	{"node", "memory", "workers", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node, balance", ""},
-	{"node", "processor time", "workers", "real", []string{"cpu_core"}, "worst", coreLimit, "core", "internal/upstream, route", ""},
-	{"worker", "requests, probes among them", "workers", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
-	{"worker", "bytes received", "workers", "worker", []string{"received_bytes_s"}, "worst", 0, "B/s", "internal/send", ""},
-	{"worker", "requests, probes among them", "members", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
-	{"worker", "connections held", "members", "worker", []string{"entries:connections"}, "worst", 0, "entries", "internal/send", ""},
-	{"discovery", "watches held", "members", "discovery", []string{"entries:watches"}, "worst", 0, "entries", "internal/upstream", ""},
-	{"discovery", "bytes sent", "members", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
-	{"discovery", "bytes sent", "workers", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
-	{"seat", "bytes sent and received", "members", "seat", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 0, "B/s", council, ""},
-	{"seat", "messages sent", "members", "seat", []string{"sent_msgs_s"}, "worst", 0, "1/s", council, ""},
-	{"seat", "processor time", "members", "seat", []string{"cpu_core"}, "worst", 0, "core", council, ""},
-	{"seat", "memory", "members", "seat", []string{"rss_bytes"}, "worst", 0, "B", council, ""},
-	{"seat", "state: heap", "members", "seat", []string{"heap_bytes"}, "worst", 0, "B", council, ""},
-	{"tool", "one look at the fleet: bytes", "members", "tool", []string{"received_bytes"}, "worst", 0, "B", "cmd/swiftdeal, internal/control", ""},
-	{"tool", "one look at the fleet: time", "members", "tool", []string{"answer_s"}, "worst", 1, "s", "internal/control", "an answer is due within a second"},
+	{"node", "bytes sent and received", "members", "members", "hollow", []string{"sent_bytes_s", "received_bytes_s"}, "worst", bytesLimit, "B/s", view, ""},
+	{"node", "bytes sent", "members", "members", "hollow", []string{"sent_bytes_s"}, "worst", bytesLimit, "B/s", view, "if only what it sends counts"},
+	{"node", "messages sent", "members", "members", "hollow", []string{"sent_msgs_s"}, "worst", 0, "1/s", view, ""},
+	{"node", "processor time", "members", "members", "hollow", []string{"cpu_core"}, "worst", coreLimit, "core", view, ""},
+	{"node", "memory, a process of its own", "members", "members", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node", ""},
+	{"node", "state: heap", "members", "members", "hollow", []string{"heap_bytes"}, "worst", memoryLimit, "B", view, ""},
+	{"node", "state: members held", "members", "members", "hollow", []string{"entries:members"}, "worst", 4096, "entries", view, "view.most_members may be set so high"},
+	{"node", "state: workers held", "workers", "workers", "real", []string{"entries:workers"}, "worst", 0, "entries", "internal/config, balance", ""},
+	{"node", "memory", "workers", "workers", "real", []string{"rss_bytes"}, "worst", memoryLimit, "B", "internal/node, balance", ""},
+	{"node", "processor time", "workers", "workers", "real", []string{"cpu_core"}, "worst", coreLimit, "core", "internal/upstream, route", ""},
+	{"node", "what it tells of its workers, once a period of a second", "decision-workers", "workers", "decision", []string{"ns:rooms", "ns:know"}, "worst", 49e6, "ns", "balance", "4.9% of a core"},
+	{"node", "its view's own period of a second", "view-members", "members", "view", []string{"ns:period"}, "worst", 49e6, "ns", "internal/fleet/member", "4.9% of a core"},
+	{"worker", "requests, probes among them", "workers", "workers", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
+	{"worker", "bytes received", "workers", "workers", "worker", []string{"received_bytes_s"}, "worst", 0, "B/s", "internal/send", ""},
+	{"worker", "requests, probes among them", "members", "members", "worker", []string{"received_msgs_s"}, "worst", 0, "1/s", "internal/send", ""},
+	{"worker", "connections held", "members", "members", "worker", []string{"entries:connections"}, "worst", 0, "entries", "internal/send", ""},
+	{"discovery", "watches held", "members", "members", "discovery", []string{"entries:watches"}, "worst", 0, "entries", "internal/upstream", ""},
+	{"discovery", "bytes sent", "members", "members", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
+	{"discovery", "bytes sent", "workers", "workers", "discovery", []string{"sent_bytes_s"}, "worst", 0, "B/s", "internal/upstream", ""},
+	{"seat", "bytes sent and received", "members", "members", "seat", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 0, "B/s", council, ""},
+	{"seat", "messages sent", "members", "members", "seat", []string{"sent_msgs_s"}, "worst", 0, "1/s", council, ""},
+	{"seat", "processor time", "members", "members", "seat", []string{"cpu_core"}, "worst", 0, "core", council, ""},
+	{"seat", "memory", "members", "members", "seat", []string{"rss_bytes"}, "worst", 0, "B", council, ""},
+	{"seat", "state: heap", "members", "members", "seat", []string{"heap_bytes"}, "worst", 0, "B", council, ""},
+	{"tool", "one look at the fleet: bytes", "members", "members", "tool", []string{"received_bytes"}, "worst", 0, "B", "cmd/swiftdeal, internal/control", ""},
+	{"tool", "one look at the fleet: time", "members", "members", "tool", []string{"answer_s"}, "worst", 1, "s", "internal/control", "docs/design/control.md"},
+	{"decision", "one decision", "decision-workers", "workers", "decision", []string{"ns:decide"}, "median", 0, "ns", "balance", ""},
+	{"decision", "one decision", "decision-running", "running", "decision", []string{"ns:decide"}, "median", 0, "ns", "balance", ""},
+	{"decision", "one decision, a tenant being a class", "decision-tenants", "tenants", "decision", []string{"ns:decide"}, "median", 0, "ns", "balance", ""},
+	{"decision", "one note of a worker while requests are held that fit nowhere", "decision-queue", "queue", "decision", []string{"ns:note"}, "median", 35e6, "ns", "balance", "at one of 100 nodes, 28 events a second"},
+	{"decision", "room by class, a tenant being a class", "decision-tenants", "tenants", "decision", []string{"ns:rooms"}, "median", 0, "ns", "balance", ""},
+	{"decision", "new settings checked, a tenant being a class", "decision-tenants", "tenants", "decision", []string{"ns:whole"}, "median", 0, "ns", "internal/settings", ""},
+	{"decision", "a second of the peak, one of N nodes", "decision-second", "nodes", "decision", []string{"ns:module"}, "median", 0, "ns", "balance", ""},
 }
 
 // Gap is a word of the target that nothing carries, or a part of it.
@@ -74,7 +85,7 @@
 	{"a rack or switch as a failure domain", "neither the view's records nor discovery's list name one: budgets cannot keep its members apart"},
 	{"changes of configuration in force everywhere within 8 s", "each node reads its own file at SIGHUP (`internal/node`); nothing agrees on a change, brings it to the fleet or tells where it is in force"},
 	{"machines set aside for control", "a seat of the council is a node that serves clients too (`internal/node`): there is no process for control alone"},
-	{"jobs that outlive a node, a client's connection or an hour", "a request lives with its connection and ends with it, after an hour at the latest (`internal/takein`): nothing queues, keeps or starts it again"},
+	{"jobs that outlive a node, a client's connection or an hour", "a request lives with its client's connection and ends with it, and a deadline is an hour at most (`internal/takein`): nothing keeps it or starts it again"},
 }
 
 // Fault is a line of the operators' list of failures, with the run that shows it.
--- a/internal/scale/page/tables.go
+++ b/internal/scale/page/tables.go
@@ -35,6 +35,9 @@
 	if s.run == nil {
 		return s, nil
 	}
+	if s.run.Sweep != row.Sweep {
+		return nil, fmt.Errorf("run %s is over %s, the row %q wants %s", s.run.Name, s.run.Sweep, row.What, row.Sweep)
+	}
 	var err error
 	if s.size, s.value, err = sum(s.run, row.Role, row); err != nil {
 		return nil, err
@@ -130,14 +133,15 @@
 	if s.Limit == 0 {
 		return "none told"
 	}
-	return cmp.Or(s.Why, "") + tail(s.Why) + Number(s.Limit, s.Unit)
+	if s.Why == "" {
+		return Number(s.Limit, s.Unit)
+	}
+	return Number(s.Limit, s.Unit) + " (" + s.Why + ")"
 }
 
-func tail(why string) string {
-	if why == "" {
-		return ""
-	}
-	return ": "
+// counted is what the sizes of a sweep are, in words.
+func counted(sweep string) string {
+	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second"}[sweep], sweep)
 }
 
 func (s *series) carrier() string {
@@ -151,6 +155,9 @@
 	if s.slope == nil {
 		return "–"
 	}
+	if s.check.Verdict != fit.Holds {
+		return s.check.Verdict.String()
+	}
 	b := Number(s.slope.B, s.Unit)
 	switch s.slope.Form {
 	case fit.Linear:
@@ -222,13 +229,15 @@
 		return steps(v, "B/s", "KB/s", "MB/s", "GB/s")
 	case "s":
 		if math.Abs(v) < 0.9995 && v != 0 {
-			return steps(v*1e9, "ns", "µs", "ms")
+			return steps(v*1e9, "ns", "µs", "ms", "s")
 		}
 		return three(v) + " s"
 	case "core":
 		return three(100*v) + "% of a core"
 	case "1/s":
 		return three(v) + "/s"
+	case "ns":
+		return steps(v, "ns", "µs", "ms", "s")
 	case "entries", "":
 		return three(v)
 	}
@@ -260,14 +269,6 @@
 	g.WriteString("|" + strings.Repeat(" --- |", len(cells)) + "\n")
 }
 
-// sweep is what a row's sizes count; that of a run which is not there goes by its name.
-func (s *series) sweep() string {
-	if s.run != nil {
-		return s.run.Sweep
-	}
-	return s.Run
-}
-
 // Tables renders every table of the page.
 func Tables(runs map[string]*record.Run) (map[string]string, error) { return tables(Rows, runs) }
 
@@ -282,9 +283,9 @@
 	}
 	out := map[string]string{
 		"slopes": slopes(all), "honesty": honesty(all), "ranking": ranking(all), "runs": list(runs),
-		"faults": faults(runs), "changes": plain(runs, "changes"), "decision": plain(runs, "decision"),
+		"faults": faults(runs), "changes": plain(runs, "changes"), "benchmarks": matrix(runs, "decision", "view"),
 	}
-	for _, name := range []string{"node", "worker", "discovery", "seat", "tool"} {
+	for _, name := range []string{"node", "worker", "discovery", "seat", "tool", "decision"} {
 		out[name] = role(name, all)
 	}
 	return out, nil
@@ -296,7 +297,7 @@
 	for _, members := range []bool{true, false} {
 		first := true
 		for _, s := range all {
-			if s.Table != name || (s.sweep() == "members") != members {
+			if s.Table != name || (s.Sweep == "members" || s.Sweep == "nodes") != members {
 				continue
 			}
 			switch {
@@ -310,8 +311,8 @@
 				g.row(s.What, s.cell(100), s.cell(335), s.cell(1000), s.limit(), s.ratio(1000), s.formula(), sizes(s.size), s.source(), s.carrier())
 				continue
 			}
-			for _, n := range Targets[s.sweep()] {
-				g.row(s.What, Plain(n)+" "+s.sweep(), s.cell(n), s.limit(), s.ratio(n), s.formula(), sizes(s.size), s.source(), s.carrier())
+			for _, n := range Targets[s.Sweep] {
+				g.row(s.What, Plain(n)+" "+counted(s.Sweep), s.cell(n), s.limit(), s.ratio(n), s.formula(), sizes(s.size), s.source(), s.carrier())
 			}
 		}
 	}
@@ -319,7 +320,7 @@
 }
 
 // label names a series in the tables on slopes.
-func (s *series) label() string { return s.Table + ": " + s.What + " over " + s.sweep() }
+func (s *series) label() string { return s.Table + ": " + s.What + ", over " + counted(s.Sweep) }
 
 func slopes(all []*series) string {
 	var g grid
@@ -379,8 +380,17 @@
 	return g.String()
 }
 
+// times is how many times the target a size is.
+func times(s *series, size float64) float64 {
+	t := Targets[s.Sweep]
+	if len(t) == 0 {
+		return math.NaN()
+	}
+	return size / t[len(t)-1]
+}
+
 // ranking lists what breaks its limit first as the fleet grows: what nothing carries, then by how many times the target a
-// slope that holds has to be gone up to reach the limit.
+// slope that holds has to be gone up to reach the limit; where none holds, up to the first size measured above it.
 func ranking(all []*series) string {
 	var g grid
 	g.head("place", "what", "breaks at", "times the target", "why")
@@ -401,25 +411,33 @@
 			add(s.label(), "any size", "–", "nothing carries it: "+s.Why)
 		case s.Limit == 0:
 		case s.slope == nil || s.check.Verdict != fit.Holds:
-			open = append(open, s)
-		default:
-			r := reach{s, s.slope.Reaches(s.Limit), math.NaN()}
-			if t := Targets[s.sweep()]; len(t) > 0 {
-				r.times = r.at / t[len(t)-1]
+			if i := slices.IndexFunc(s.value, func(v float64) bool { return v >= s.Limit }); i >= 0 {
+				known = append(known, reach{s, s.size[i], times(s, s.size[i])})
+			} else {
+				open = append(open, s)
 			}
-			known = append(known, r)
+		default:
+			at := s.slope.Reaches(s.Limit)
+			known = append(known, reach{s, at, times(s, at)})
 		}
 	}
 	slices.SortStableFunc(known, func(a, b reach) int { return cmp.Compare(a.times, b.times) })
 	for _, r := range known {
-		at, times := Plain(math.Round(r.at))+" "+r.sweep(), strconv.FormatFloat(r.times, 'g', 3, 64)
+		at, times := Plain(math.Round(r.at))+" "+counted(r.Sweep), strconv.FormatFloat(r.times, 'g', 3, 64)
 		switch {
 		case math.IsInf(r.at, 1) || r.at > 1e8:
 			at, times = "never by this slope", "–"
 		case r.at == 0:
 			at, times = "any size: above its limit from the first", "–"
 		}
-		add(r.label(), at, times, r.formula()+" against "+r.limit())
+		why := r.formula() + " against " + r.limit()
+		if i := slices.Index(r.size, r.at); i >= 0 && (r.slope == nil || r.check.Verdict != fit.Holds) {
+			at, why = at+", measured", Number(r.value[i], r.Unit)+" there, against "+r.limit()
+			if i > 0 {
+				why += "; still " + Number(r.value[i-1], r.Unit) + " at " + Plain(r.size[i-1])
+			}
+		}
+		add(r.label(), at, times, why)
 	}
 	for _, s := range open {
 		why := s.why
@@ -461,8 +479,11 @@
 		for _, role := range slices.Sorted(maps.Keys(p.Roles)) {
 			values := p.Roles[role].Values
 			for _, metric := range slices.Sorted(maps.Keys(values)) {
+				if strings.Contains(metric, ":") {
+					continue // parts of another one, by kind
+				}
 				v := values[metric]
-				g.row(append(slices.Clone(lead), Plain(p.Size)+" "+r.Sweep, role, metric, Number(v.Median, v.Unit), Number(v.Worst, v.Unit), strconv.Itoa(v.Count))...)
+				g.row(append(slices.Clone(lead), Plain(p.Size)+" "+counted(r.Sweep), role, metric, Number(v.Median, v.Unit), Number(v.Worst, v.Unit), strconv.Itoa(v.Count))...)
 			}
 		}
 	}
@@ -508,3 +529,44 @@
 	}
 	return g.String()
 }
+
+// matrix shows what runs of benchmarks hold over their sizes: times, and counts without a kind.
+func matrix(runs map[string]*record.Run, prefixes ...string) string {
+	var g grid
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		if !slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) }) {
+			continue
+		}
+		r := runs[name]
+		head, cells := []string{name + ", by " + counted(r.Sweep)}, map[string]map[float64]string{}
+		var at []float64
+		for _, p := range r.Points {
+			at = append(at, p.Size)
+			head = append(head, Plain(p.Size))
+			for role, x := range p.Roles {
+				for metric, v := range x.Values {
+					if strings.Contains(metric, ":") && !strings.HasPrefix(metric, "ns:") {
+						continue
+					}
+					k := role + ": " + strings.TrimPrefix(metric, "ns:")
+					if cells[k] == nil {
+						cells[k] = map[float64]string{}
+					}
+					cells[k][p.Size] = Number(v.Median, v.Unit)
+				}
+			}
+		}
+		g.head(head...)
+		for _, k := range slices.Sorted(maps.Keys(cells)) {
+			row := []string{k}
+			for _, n := range at {
+				row = append(row, cmp.Or(cells[k][n], "–"))
+			}
+			g.row(row...)
+		}
+	}
+	if g.Len() == 0 {
+		return strings.Join(prefixes, ", ") + ": " + notRun
+	}
+	return g.String()
+}
