--- a/internal/scale/chart/chart.go
+++ b/internal/scale/chart/chart.go
@@ -35,9 +35,12 @@
 	size, value []float64
 }
 
-// Draw returns the pictures of a run by their files' names. Runs of one size have none. A metric with kinds
+// Draw returns the pictures of a run by their files' names. Runs of one size, and of faults, have none. A metric with kinds
 // ("sent_bytes_s:ping") has one for all of them, of each role.
 func Draw(run *record.Run) (map[string][]byte, error) {
+	if run.Sweep == "phase" { // before, while a fault lasts, after: no sizes
+		return nil, nil
+	}
 	groups, units := map[string][]line{}, map[string]string{}
 	for _, role := range roles(run) {
 		for _, metric := range metrics(run, role) {
--- a/internal/scale/page/tables.go
+++ b/internal/scale/page/tables.go
@@ -141,7 +141,7 @@
 
 // counted is what the sizes of a sweep are, in words.
 func counted(sweep string) string {
-	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second"}[sweep], sweep)
+	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second", "changes": "changes a minute", "zones": "zones in all"}[sweep], sweep)
 }
 
 func (s *series) carrier() string {
@@ -283,7 +283,8 @@
 	}
 	out := map[string]string{
 		"slopes": slopes(all), "honesty": honesty(all), "ranking": ranking(all), "runs": list(runs),
-		"faults": faults(runs), "changes": plain(runs, "changes"), "benchmarks": matrix(runs, "decision", "view"),
+		"faults": faults(runs), "changes": orNotRun(matrix(runs, "worst", changing, "changes")),
+		"benchmarks": orNotRun(matrix(runs, "median", timed, "decision", "view-")),
 	}
 	for _, name := range []string{"node", "worker", "discovery", "seat", "tool", "decision"} {
 		out[name] = role(name, all)
@@ -474,85 +475,74 @@
 	return g.String()
 }
 
-func (g *grid) points(r *record.Run, lead ...string) {
-	for _, p := range r.Points {
-		for _, role := range slices.Sorted(maps.Keys(p.Roles)) {
-			values := p.Roles[role].Values
-			for _, metric := range slices.Sorted(maps.Keys(values)) {
-				if strings.Contains(metric, ":") {
-					continue // parts of another one, by kind
-				}
-				v := values[metric]
-				g.row(append(slices.Clone(lead), Plain(p.Size)+" "+counted(r.Sweep), role, metric, Number(v.Median, v.Unit), Number(v.Worst, v.Unit), strconv.Itoa(v.Count))...)
-			}
-		}
-	}
-	if r.Failed != "" {
-		g.row(append(slices.Clone(lead), "–", "–", "ended early: "+r.Failed, "–", "–", "–")...)
-	}
-}
-
-// faults shows the operators' list, each with its run, and then whatever else was run under such a name.
+// faults shows the operators' list with its runs, and then each run of a fault, by phase.
 func faults(runs map[string]*record.Run) string {
 	var g grid
-	g.head("what happens", "carried by", "run", "size", "role", "metric", "median", "worst", "of")
-	known := map[string]bool{}
+	g.head("what happens", "carried by", "run")
 	for _, f := range Faults {
-		known[f.Run] = true
+		state := "`" + Dir + "/" + f.Run + ".json`: " + notRun
 		if r := runs[f.Run]; r != nil {
-			g.points(r, f.What, f.By, f.Run)
-		} else {
-			g.row(f.What, f.By, f.Run+": "+notRun, "–", "–", "–", "–", "–", "–")
+			state = "[" + f.Run + "](../" + Dir + "/" + f.Run + ".json)"
+			if r.Failed != "" {
+				state += ", ended early: " + r.Failed
+			}
 		}
+		g.row(f.What, f.By, state)
 	}
-	for _, name := range slices.Sorted(maps.Keys(runs)) {
-		if strings.HasPrefix(name, "faults") && !known[name] {
-			g.points(runs[name], cmp.Or(runs[name].Note, name), "–", name)
-		}
+	if t := matrix(runs, "worst", whole, "faults"); t != "" {
+		return g.String() + "\n" + t
 	}
 	return g.String()
 }
 
-// plain shows all that runs of one kind hold.
-func plain(runs map[string]*record.Run, prefix string) string {
-	var g grid
-	g.head("run", "size", "role", "metric", "median", "worst", "of")
-	n := 0
-	for _, name := range slices.Sorted(maps.Keys(runs)) {
-		if strings.HasPrefix(name, prefix) {
-			n++
-			g.points(runs[name], name)
-		}
-	}
-	if n == 0 {
-		g.row(prefix+": "+notRun, "–", "–", "–", "–", "–", "–")
-	}
-	return g.String()
+// whole are metrics that are not parts of another one, by kind.
+func whole(metric string) bool { return !strings.Contains(metric, ":") }
+
+// timed are those of benchmarks that are shown: times, and counts without a kind.
+func timed(metric string) bool { return whole(metric) || strings.HasPrefix(metric, "ns:") }
+
+// changing are those that changes of configuration bear on.
+func changing(metric string) bool {
+	return strings.HasPrefix(metric, "change") || slices.Contains([]string{"cpu_core", "sent_bytes_s", "received_bytes_s", "sent_msgs_s", "heap_bytes"}, metric)
 }
 
-// matrix shows what runs of benchmarks hold over their sizes: times, and counts without a kind.
-func matrix(runs map[string]*record.Run, prefixes ...string) string {
+// orNotRun says so where there is nothing.
+func orNotRun(text string) string { return cmp.Or(text, notRun) }
+
+// phases are the sizes of runs of faults.
+var phases = map[float64]string{0: "before", 1: "while it lasts", 2: "after"}
+
+// matrix shows what runs hold over their sizes, of the metrics that are wanted.
+func matrix(runs map[string]*record.Run, statistic string, want func(metric string) bool, prefixes ...string) string {
 	var g grid
 	for _, name := range slices.Sorted(maps.Keys(runs)) {
 		if !slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) }) {
 			continue
 		}
 		r := runs[name]
-		head, cells := []string{name + ", by " + counted(r.Sweep)}, map[string]map[float64]string{}
+		head, cells := []string{name + ", by " + counted(r.Sweep) + ", " + statistic}, map[string]map[float64]string{}
 		var at []float64
 		for _, p := range r.Points {
 			at = append(at, p.Size)
-			head = append(head, Plain(p.Size))
+			if r.Sweep == "phase" {
+				head = append(head, cmp.Or(phases[p.Size], Plain(p.Size)))
+			} else {
+				head = append(head, Plain(p.Size))
+			}
 			for role, x := range p.Roles {
 				for metric, v := range x.Values {
-					if strings.Contains(metric, ":") && !strings.HasPrefix(metric, "ns:") {
+					if !want(metric) {
 						continue
 					}
 					k := role + ": " + strings.TrimPrefix(metric, "ns:")
 					if cells[k] == nil {
 						cells[k] = map[float64]string{}
 					}
-					cells[k][p.Size] = Number(v.Median, v.Unit)
+					y := v.Median
+					if statistic == "worst" {
+						y = v.Worst
+					}
+					cells[k][p.Size] = Number(y, v.Unit)
 				}
 			}
 		}
@@ -564,9 +554,9 @@
 			}
 			g.row(row...)
 		}
-	}
-	if g.Len() == 0 {
-		return strings.Join(prefixes, ", ") + ": " + notRun
+		if r.Failed != "" {
+			g.WriteString("\nEnded early: " + r.Failed + "\n")
+		}
 	}
 	return g.String()
 }
