--- a/internal/scale/fit/fit.go
+++ b/internal/scale/fit/fit.go
@@ -122,6 +122,9 @@
 	if columns == 2 {
 		s.B = b.AtVec(1)
 	}
+	if math.Abs(s.A) < nought*s.floor {
+		s.A = 0
+	}
 	var normal mat.Dense
 	normal.Mul(x.T(), x)
 	s.inverse = new(mat.Dense)
--- a/internal/scale/page/tables.go
+++ b/internal/scale/page/tables.go
@@ -55,11 +55,13 @@
 		if row.Role != pair[0] && row.Role != pair[1] {
 			continue
 		}
-		an, av, err := sum(s.run, pair[0], row)
+		middle := row // the worst of hundreds is worse than that of a few
+		middle.Statistic = "median"
+		an, av, err := sum(s.run, pair[0], middle)
 		if err != nil {
 			return nil, err
 		}
-		bn, bv, err := sum(s.run, pair[1], row)
+		bn, bv, err := sum(s.run, pair[1], middle)
 		if err != nil {
 			return nil, err
 		}
@@ -209,6 +211,7 @@
 	if math.IsNaN(v) || math.IsInf(v, 0) {
 		return "–"
 	}
+	v += 0 // not -0
 	three := func(v float64) string {
 		if a := math.Abs(v); a >= 100 || a == 0 {
 			return Plain(math.Round(v))
@@ -354,12 +357,14 @@
 
 func honesty(all []*series) string {
 	var g grid
-	g.head("series", "sizes with both", "hollow against real", "widest", "verdict")
-	n := 0
+	g.head("series", "sizes with both", "hollow against real, medians", "widest", "verdict")
+	n, seen := 0, map[string]bool{}
 	for _, s := range all {
-		if len(s.differ) == 0 {
+		key := s.Run + " " + strings.Join(s.Metrics, " ")
+		if len(s.differ) == 0 || seen[key] {
 			continue
 		}
+		seen[key] = true
 		n++
 		var at, differ []string
 		widest := 0.0
