--- a/internal/scale/page/page_test.go
+++ b/internal/scale/page/page_test.go
@@ -20,12 +20,13 @@
 }
 
 var madeUp = []Row{
-	{"node", "bytes", "members", "hollow", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 9000, "B/s", "x", ""},
-	{"node", "bend", "members", "hollow", []string{"bend"}, "worst", 100, "B", "x", ""},
-	{"node", "flat", "members", "hollow", []string{"flat"}, "worst", 100, "B", "x", ""},
-	{"seat", "heap", "members", "seat", []string{"heap_bytes"}, "worst", 0, "B", "x", ""},
-	{"node", "absent", "workers", "hollow", []string{"cpu_core"}, "worst", 1, "core", "x", ""},
-	{"tool", "quota", "tenants", "tool", []string{"share"}, "worst", 0, "entries", "", "nobody counts"},
+	{"node", "bytes", "members", "members", "hollow", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 9000, "B/s", "x", ""},
+	{"node", "bend", "members", "members", "hollow", []string{"bend"}, "worst", 2e6, "B", "x", ""},
+	{"node", "steep", "members", "members", "hollow", []string{"bend"}, "worst", 200_000, "B", "x", ""},
+	{"node", "flat", "members", "members", "hollow", []string{"flat"}, "worst", 100, "B", "x", ""},
+	{"seat", "heap", "members", "members", "seat", []string{"heap_bytes"}, "worst", 0, "B", "x", ""},
+	{"node", "absent", "workers", "workers", "hollow", []string{"cpu_core"}, "worst", 1, "core", "x", ""},
+	{"tool", "quota", "tenants", "tenants", "tool", []string{"share"}, "worst", 0, "entries", "", "nobody counts"},
 }
 
 func runs() map[string]*record.Run {
@@ -39,7 +40,13 @@
 			"real": {Values: map[string]record.Value{"sent_bytes_s": one("B/s", 100+2*n), "received_bytes_s": one("B/s", 2*(100+2*n)), "flat": one("B", 7)}},
 		}})
 	}
-	return map[string]*record.Run{"members": r}
+	fault := &record.Run{Name: "faults-rack", Sweep: "phase", Failed: "stopped"}
+	for phase := range 3 {
+		fault.Points = append(fault.Points, record.Point{Size: float64(phase), Roles: map[string]record.Role{
+			"hollow": {Values: map[string]record.Value{"cpu_core": record.Over("core", []float64{0.01 * float64(phase+1), 0}), "sent_msgs_s:ping": record.Over("1/s", nil)}},
+		}})
+	}
+	return map[string]*record.Run{"members": r, "faults-rack": fault}
 }
 
 // Figures are measured, foretold by a slope that holds, or not there; each says which.
@@ -55,11 +62,11 @@
 		},
 		"seat":    {"| heap | not in this run |"},
 		"tool":    {"nothing carries this: nobody counts"},
-		"slopes":  {"node: bend over members | linear", "**failed**: not used", "| 0.0% | holds |", "| not run | – |"},
-		"honesty": {"| node: bytes over members | 32, 64, 128, 256, 512, 1,000 | -33.3%, -33.3%", "**differ**", "| 0.0% | alike |"},
-		"ranking": {"nobody counts", "| node: bytes over members | 2,200 members | 2.2 |", "| node: flat over members | never by this slope |", "| – | node: bend over members | unknown | – | slope failed |"},
+		"slopes":  {"node: bend, over members | n log n", "**failed**: not used", "| 0.0% | holds |", "| not run | – |"},
+		"honesty": {"| node: bytes, over members | 32, 64, 128, 256, 512, 1,000 | -33.3%, -33.3%", "**differ**", "| 0.0% | alike |"},
+		"ranking": {"nobody counts", "| node: bytes, over members | 2,200 members | 2.2 |", "| node: flat, over members | never by this slope |", "| – | node: bend, over members | unknown | – | slope failed |", "| node: steep, over members | 512 members, measured | 0.512 | 262 KB there, against 200 KB; still 65.5 KB at 256 |"},
 		"runs":    {"| 0123456789 |"},
-		"faults":  {"| faults-zone: not run |"}, "changes": {"changes: not run"}, "decision": {"decision: not run"},
+		"faults":  {"faults-zone.json`: not run |", "faults-rack, by phase, worst | before | while it lasts | after |", "| hollow: cpu_core | 1% of a core | 2% of a core | 3% of a core |", "Ended early: stopped"}, "changes": {"not run"}, "decision": {""}, "benchmarks": {"not run"},
 	} {
 		for _, w := range wants {
 			if !strings.Contains(all[table], w) {
@@ -80,7 +87,7 @@
 // Each row has its limit's unit, a table that is rendered, and a package or a reason.
 func TestRows(t *testing.T) {
 	for _, r := range Rows {
-		if r.Unit == "" || len(r.Metrics) == 0 || r.By == "" && r.Why == "" || !strings.Contains("node worker discovery seat tool", r.Table) || len(Targets[r.Run]) == 0 {
+		if r.Unit == "" || len(r.Metrics) == 0 || r.By == "" && r.Why == "" || !strings.Contains("node worker discovery seat tool decision", r.Table) || len(Targets[r.Sweep]) == 0 {
 			t.Errorf("%+v", r)
 		}
 	}
@@ -153,7 +160,7 @@
 		unit, want string
 	}{
 		{0, "B", "0 B"}, {999.6, "B/s", "1 KB/s"}, {12345, "B", "12.3 KB"}, {128e6, "B", "128 MB"}, {0.049, "core", "4.9% of a core"}, {1.5e-7, "s", "150 ns"},
-		{0.25, "s", "250 ms"}, {8, "s", "8 s"}, {110, "1/s", "110/s"}, {4096, "entries", "4,096"}, {math.NaN(), "B", "–"}, {-1234567, "B", "-1.23 MB"},
+		{0.25, "s", "250 ms"}, {8, "s", "8 s"}, {math.Copysign(0, -1), "1/s", "0/s"}, {110, "1/s", "110/s"}, {4096, "entries", "4,096"}, {math.NaN(), "B", "–"}, {-1234567, "B", "-1.23 MB"},
 	} {
 		if got := Number(c.v, c.unit); got != c.want {
 			t.Errorf("%g %s: %q, not %q", c.v, c.unit, got, c.want)
--- a/internal/scale/page/tables.go
+++ b/internal/scale/page/tables.go
@@ -35,6 +35,9 @@
 	if s.run == nil {
 		return s, nil
 	}
+	if s.run.Sweep != row.Sweep {
+		return nil, fmt.Errorf("run %s is over %s, the row %q wants %s", s.run.Name, s.run.Sweep, row.What, row.Sweep)
+	}
 	var err error
 	if s.size, s.value, err = sum(s.run, row.Role, row); err != nil {
 		return nil, err
@@ -52,11 +55,13 @@
 		if row.Role != pair[0] && row.Role != pair[1] {
 			continue
 		}
-		an, av, err := sum(s.run, pair[0], row)
+		middle := row // the worst of hundreds is worse than that of a few
+		middle.Statistic = "median"
+		an, av, err := sum(s.run, pair[0], middle)
 		if err != nil {
 			return nil, err
 		}
-		bn, bv, err := sum(s.run, pair[1], row)
+		bn, bv, err := sum(s.run, pair[1], middle)
 		if err != nil {
 			return nil, err
 		}
@@ -130,14 +135,15 @@
 	if s.Limit == 0 {
 		return "none told"
 	}
-	return cmp.Or(s.Why, "") + tail(s.Why) + Number(s.Limit, s.Unit)
+	if s.Why == "" {
+		return Number(s.Limit, s.Unit)
+	}
+	return Number(s.Limit, s.Unit) + " (" + s.Why + ")"
 }
 
-func tail(why string) string {
-	if why == "" {
-		return ""
-	}
-	return ": "
+// counted is what the sizes of a sweep are, in words.
+func counted(sweep string) string {
+	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second", "changes": "changes a minute", "zones": "zones in all"}[sweep], sweep)
 }
 
 func (s *series) carrier() string {
@@ -151,6 +157,9 @@
 	if s.slope == nil {
 		return "–"
 	}
+	if s.check.Verdict != fit.Holds {
+		return s.check.Verdict.String()
+	}
 	b := Number(s.slope.B, s.Unit)
 	switch s.slope.Form {
 	case fit.Linear:
@@ -202,6 +211,7 @@
 	if math.IsNaN(v) || math.IsInf(v, 0) {
 		return "–"
 	}
+	v += 0 // not -0
 	three := func(v float64) string {
 		if a := math.Abs(v); a >= 100 || a == 0 {
 			return Plain(math.Round(v))
@@ -222,13 +232,15 @@
 		return steps(v, "B/s", "KB/s", "MB/s", "GB/s")
 	case "s":
 		if math.Abs(v) < 0.9995 && v != 0 {
-			return steps(v*1e9, "ns", "µs", "ms")
+			return steps(v*1e9, "ns", "µs", "ms", "s")
 		}
 		return three(v) + " s"
 	case "core":
 		return three(100*v) + "% of a core"
 	case "1/s":
 		return three(v) + "/s"
+	case "ns":
+		return steps(v, "ns", "µs", "ms", "s")
 	case "entries", "":
 		return three(v)
 	}
@@ -260,14 +272,6 @@
 	g.WriteString("|" + strings.Repeat(" --- |", len(cells)) + "\n")
 }
 
-// sweep is what a row's sizes count; that of a run which is not there goes by its name.
-func (s *series) sweep() string {
-	if s.run != nil {
-		return s.run.Sweep
-	}
-	return s.Run
-}
-
 // Tables renders every table of the page.
 func Tables(runs map[string]*record.Run) (map[string]string, error) { return tables(Rows, runs) }
 
@@ -282,9 +286,10 @@
 	}
 	out := map[string]string{
 		"slopes": slopes(all), "honesty": honesty(all), "ranking": ranking(all), "runs": list(runs),
-		"faults": faults(runs), "changes": plain(runs, "changes"), "decision": plain(runs, "decision"),
+		"faults": faults(runs), "changes": orNotRun(matrix(runs, "worst", changing, "changes")),
+		"benchmarks": orNotRun(matrix(runs, "median", timed, "decision", "view-")),
 	}
-	for _, name := range []string{"node", "worker", "discovery", "seat", "tool"} {
+	for _, name := range []string{"node", "worker", "discovery", "seat", "tool", "decision"} {
 		out[name] = role(name, all)
 	}
 	return out, nil
@@ -296,7 +301,7 @@
 	for _, members := range []bool{true, false} {
 		first := true
 		for _, s := range all {
-			if s.Table != name || (s.sweep() == "members") != members {
+			if s.Table != name || (s.Sweep == "members" || s.Sweep == "nodes") != members {
 				continue
 			}
 			switch {
@@ -310,8 +315,8 @@
 				g.row(s.What, s.cell(100), s.cell(335), s.cell(1000), s.limit(), s.ratio(1000), s.formula(), sizes(s.size), s.source(), s.carrier())
 				continue
 			}
-			for _, n := range Targets[s.sweep()] {
-				g.row(s.What, Plain(n)+" "+s.sweep(), s.cell(n), s.limit(), s.ratio(n), s.formula(), sizes(s.size), s.source(), s.carrier())
+			for _, n := range Targets[s.Sweep] {
+				g.row(s.What, Plain(n)+" "+counted(s.Sweep), s.cell(n), s.limit(), s.ratio(n), s.formula(), sizes(s.size), s.source(), s.carrier())
 			}
 		}
 	}
@@ -319,7 +324,7 @@
 }
 
 // label names a series in the tables on slopes.
-func (s *series) label() string { return s.Table + ": " + s.What + " over " + s.sweep() }
+func (s *series) label() string { return s.Table + ": " + s.What + ", over " + counted(s.Sweep) }
 
 func slopes(all []*series) string {
 	var g grid
@@ -352,12 +357,14 @@
 
 func honesty(all []*series) string {
 	var g grid
-	g.head("series", "sizes with both", "hollow against real", "widest", "verdict")
-	n := 0
+	g.head("series", "sizes with both", "hollow against real, medians", "widest", "verdict")
+	n, seen := 0, map[string]bool{}
 	for _, s := range all {
-		if len(s.differ) == 0 {
+		key := s.Run + " " + strings.Join(s.Metrics, " ")
+		if len(s.differ) == 0 || seen[key] {
 			continue
 		}
+		seen[key] = true
 		n++
 		var at, differ []string
 		widest := 0.0
@@ -379,8 +386,17 @@
 	return g.String()
 }
 
+// times is how many times the target a size is.
+func times(s *series, size float64) float64 {
+	t := Targets[s.Sweep]
+	if len(t) == 0 {
+		return math.NaN()
+	}
+	return size / t[len(t)-1]
+}
+
 // ranking lists what breaks its limit first as the fleet grows: what nothing carries, then by how many times the target a
-// slope that holds has to be gone up to reach the limit.
+// slope that holds has to be gone up to reach the limit; where none holds, up to the first size measured above it.
 func ranking(all []*series) string {
 	var g grid
 	g.head("place", "what", "breaks at", "times the target", "why")
@@ -401,25 +417,33 @@
 			add(s.label(), "any size", "–", "nothing carries it: "+s.Why)
 		case s.Limit == 0:
 		case s.slope == nil || s.check.Verdict != fit.Holds:
-			open = append(open, s)
-		default:
-			r := reach{s, s.slope.Reaches(s.Limit), math.NaN()}
-			if t := Targets[s.sweep()]; len(t) > 0 {
-				r.times = r.at / t[len(t)-1]
+			if i := slices.IndexFunc(s.value, func(v float64) bool { return v >= s.Limit }); i >= 0 {
+				known = append(known, reach{s, s.size[i], times(s, s.size[i])})
+			} else {
+				open = append(open, s)
 			}
-			known = append(known, r)
+		default:
+			at := s.slope.Reaches(s.Limit)
+			known = append(known, reach{s, at, times(s, at)})
 		}
 	}
 	slices.SortStableFunc(known, func(a, b reach) int { return cmp.Compare(a.times, b.times) })
 	for _, r := range known {
-		at, times := Plain(math.Round(r.at))+" "+r.sweep(), strconv.FormatFloat(r.times, 'g', 3, 64)
+		at, times := Plain(math.Round(r.at))+" "+counted(r.Sweep), strconv.FormatFloat(r.times, 'g', 3, 64)
 		switch {
 		case math.IsInf(r.at, 1) || r.at > 1e8:
 			at, times = "never by this slope", "–"
 		case r.at == 0:
 			at, times = "any size: above its limit from the first", "–"
 		}
-		add(r.label(), at, times, r.formula()+" against "+r.limit())
+		why := r.formula() + " against " + r.limit()
+		if i := slices.Index(r.size, r.at); i >= 0 && (r.slope == nil || r.check.Verdict != fit.Holds) {
+			at, why = at+", measured", Number(r.value[i], r.Unit)+" there, against "+r.limit()
+			if i > 0 {
+				why += "; still " + Number(r.value[i-1], r.Unit) + " at " + Plain(r.size[i-1])
+			}
+		}
+		add(r.label(), at, times, why)
 	}
 	for _, s := range open {
 		why := s.why
@@ -456,55 +480,88 @@
 	return g.String()
 }
 
-func (g *grid) points(r *record.Run, lead ...string) {
-	for _, p := range r.Points {
-		for _, role := range slices.Sorted(maps.Keys(p.Roles)) {
-			values := p.Roles[role].Values
-			for _, metric := range slices.Sorted(maps.Keys(values)) {
-				v := values[metric]
-				g.row(append(slices.Clone(lead), Plain(p.Size)+" "+r.Sweep, role, metric, Number(v.Median, v.Unit), Number(v.Worst, v.Unit), strconv.Itoa(v.Count))...)
-			}
-		}
-	}
-	if r.Failed != "" {
-		g.row(append(slices.Clone(lead), "–", "–", "ended early: "+r.Failed, "–", "–", "–")...)
-	}
-}
-
-// faults shows the operators' list, each with its run, and then whatever else was run under such a name.
+// faults shows the operators' list with its runs, and then each run of a fault, by phase.
 func faults(runs map[string]*record.Run) string {
 	var g grid
-	g.head("what happens", "carried by", "run", "size", "role", "metric", "median", "worst", "of")
-	known := map[string]bool{}
+	g.head("what happens", "carried by", "run")
 	for _, f := range Faults {
-		known[f.Run] = true
+		state := "`" + Dir + "/" + f.Run + ".json`: " + notRun
 		if r := runs[f.Run]; r != nil {
-			g.points(r, f.What, f.By, f.Run)
-		} else {
-			g.row(f.What, f.By, f.Run+": "+notRun, "–", "–", "–", "–", "–", "–")
+			state = "[" + f.Run + "](../" + Dir + "/" + f.Run + ".json)"
+			if r.Failed != "" {
+				state += ", ended early: " + r.Failed
+			}
 		}
+		g.row(f.What, f.By, state)
 	}
-	for _, name := range slices.Sorted(maps.Keys(runs)) {
-		if strings.HasPrefix(name, "faults") && !known[name] {
-			g.points(runs[name], cmp.Or(runs[name].Note, name), "–", name)
-		}
+	if t := matrix(runs, "worst", whole, "faults"); t != "" {
+		return g.String() + "\n" + t
 	}
 	return g.String()
 }
 
-// plain shows all that runs of one kind hold.
-func plain(runs map[string]*record.Run, prefix string) string {
+// whole are metrics that are not parts of another one, by kind.
+func whole(metric string) bool { return !strings.Contains(metric, ":") }
+
+// timed are those of benchmarks that are shown: times, and counts without a kind.
+func timed(metric string) bool { return whole(metric) || strings.HasPrefix(metric, "ns:") }
+
+// changing are those that changes of configuration bear on.
+func changing(metric string) bool {
+	return strings.HasPrefix(metric, "change") || slices.Contains([]string{"cpu_core", "sent_bytes_s", "received_bytes_s", "sent_msgs_s", "heap_bytes"}, metric)
+}
+
+// orNotRun says so where there is nothing.
+func orNotRun(text string) string { return cmp.Or(text, notRun) }
+
+// phases are the sizes of runs of faults.
+var phases = map[float64]string{0: "before", 1: "while it lasts", 2: "after"}
+
+// matrix shows what runs hold over their sizes, of the metrics that are wanted.
+func matrix(runs map[string]*record.Run, statistic string, want func(metric string) bool, prefixes ...string) string {
 	var g grid
-	g.head("run", "size", "role", "metric", "median", "worst", "of")
-	n := 0
 	for _, name := range slices.Sorted(maps.Keys(runs)) {
-		if strings.HasPrefix(name, prefix) {
-			n++
-			g.points(runs[name], name)
+		if !slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) }) {
+			continue
+		}
+		r := runs[name]
+		head, cells := []string{name + ", by " + counted(r.Sweep) + ", " + statistic}, map[string]map[float64]string{}
+		var at []float64
+		for _, p := range r.Points {
+			at = append(at, p.Size)
+			if r.Sweep == "phase" {
+				head = append(head, cmp.Or(phases[p.Size], Plain(p.Size)))
+			} else {
+				head = append(head, Plain(p.Size))
+			}
+			for role, x := range p.Roles {
+				for metric, v := range x.Values {
+					if !want(metric) {
+						continue
+					}
+					k := role + ": " + strings.TrimPrefix(metric, "ns:")
+					if cells[k] == nil {
+						cells[k] = map[float64]string{}
+					}
+					y := v.Median
+					if statistic == "worst" {
+						y = v.Worst
+					}
+					cells[k][p.Size] = Number(y, v.Unit)
+				}
+			}
+		}
+		g.head(head...)
+		for _, k := range slices.Sorted(maps.Keys(cells)) {
+			row := []string{k}
+			for _, n := range at {
+				row = append(row, cmp.Or(cells[k][n], "–"))
+			}
+			g.row(row...)
+		}
+		if r.Failed != "" {
+			g.WriteString("\nEnded early: " + r.Failed + "\n")
 		}
-	}
-	if n == 0 {
-		g.row(prefix+": "+notRun, "–", "–", "–", "–", "–", "–")
 	}
 	return g.String()
 }
