--- a/internal/fleet/gossip/traffic.go
+++ b/internal/fleet/gossip/traffic.go
@@ -39,6 +39,14 @@
 	return list
 }
 
+// KindName names a kind of Traffic.
+func KindName(k int) string {
+	if k == 0 {
+		return "unread"
+	}
+	return wire.Kind(k).String()
+}
+
 // Traffic returns the counts as they stand.
 func (s *Service) Traffic() (t Traffic) {
 	if s != nil {
@@ -74,7 +82,7 @@
 	family := func(name, help string, of [wire.Kinds]Count, value func(Count) int64) control.Family {
 		f := control.Family{Name: name, Help: help, Label: "kind"}
 		for k, c := range of {
-			f.Rows = append(f.Rows, control.Row{Of: wire.Kind(k).String(), Value: value(c)})
+			f.Rows = append(f.Rows, control.Row{Of: KindName(k), Value: value(c)})
 		}
 		return f
 	}
--- /dev/null
+++ b/internal/scale/child.go
@@ -0,0 +1,406 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"swiftdeal/internal/fleet/gossip"
+	"swiftdeal/internal/machine"
+	"swiftdeal/internal/scale/hollow"
+	"swiftdeal/internal/standin"
+)
+
+// Command is what the tool tells one of its processes, a line of JSON on its standard input.
+type Command struct {
+	Do      string // begin, start, report, held, cut, end, reload
+	Role    string // of begin: hollow, discovery or worker
+	Plan    *Plan
+	Block   int
+	Dir     string
+	Members []int   // of begin: which are this process's; of start, end, reload: which are meant, all if there are none
+	Gap     float64 // of start: seconds between two nodes
+	Region  int     // of cut: which is cut off from the others; -1: none
+	Crash   bool    // of end: without a word
+	Number  int     // of reload: which revision
+}
+
+// Reply answers a Command, a line of JSON on standard output.
+type Reply struct {
+	Err     string       `json:",omitempty"`
+	At      float64      // seconds on the process's own clock, which only goes forward
+	CPU     float64      // seconds of a core, by the operating system
+	RSS     uint64       // bytes
+	Heap    uint64       // in use after a collection, above what the process had before it did anything
+	Stacks  uint64       // of goroutines
+	Files   int          // descriptors
+	Nodes   []NodeReport `json:",omitempty"`
+	Calls   int64        // of discovery, since its start
+	Bytes   int64        // that discovery has written
+	Dropped int64        // datagrams that a cut has dropped
+	Took    float64      // of reload: seconds
+	Read    int          // of reload: bytes of configuration that were read
+}
+
+// NodeReport is what one hollow node says.
+type NodeReport struct {
+	Member  int
+	Starts  int // of it, so far
+	Up      bool
+	State   hollow.State
+	Traffic gossip.Traffic
+}
+
+// Child is one process of a run, or its part in the tool's own process. Its commands come one at a time.
+type Child struct {
+	start time.Time
+	role  string
+	plan  *Plan
+	b     places
+	dir   string
+	own   []int
+	nodes map[int]*hollow.Node
+	begun map[int]int // starts
+	heap  uint64
+	cut   *cut
+
+	host  *standin.Sockets
+	calls atomic.Int64
+	bytes atomic.Int64
+	stop  chan struct{}
+	once  sync.Once
+}
+
+// NewChild returns one that has not begun.
+func NewChild() *Child {
+	return &Child{start: time.Now(), nodes: map[int]*hollow.Node{}, begun: map[int]int{}, stop: make(chan struct{}), cut: &cut{}}
+}
+
+// Serve takes commands until they end: that also means that whoever gave them has ended.
+func (c *Child) Serve(in io.Reader, out io.Writer) error {
+	defer c.Close()
+	lines, words := bufio.NewReader(in), json.NewEncoder(out)
+	read := json.NewDecoder(lines)
+	for {
+		var cmd Command
+		if err := read.Decode(&cmd); err != nil {
+			return nil
+		}
+		if err := words.Encode(c.Do(cmd)); err != nil {
+			return err
+		}
+	}
+}
+
+// Close ends all that the child has started.
+func (c *Child) Close() {
+	c.once.Do(func() {
+		close(c.stop)
+		var all sync.WaitGroup
+		for _, n := range c.nodes {
+			all.Go(func() { n.End(true) })
+		}
+		all.Wait()
+		if c.host != nil {
+			c.host.Close()
+		}
+	})
+}
+
+// Do does what is told.
+func (c *Child) Do(cmd Command) (r Reply) {
+	var err error
+	switch cmd.Do {
+	case "begin":
+		c.role, c.plan, c.b, c.dir, c.own = cmd.Role, cmd.Plan, places(cmd.Block), cmd.Dir, cmd.Members
+		c.cut.plan, c.cut.b = c.plan, c.b
+		c.cut.region.Store(-1)
+		runtime.GC()
+		c.heap, _ = inUse()
+		switch c.role {
+		case "discovery":
+			err = c.discovery()
+		case "worker":
+			err = c.workers()
+		case "hollow":
+		default:
+			err = fmt.Errorf("role %q is unknown", c.role)
+		}
+	case "start":
+		for _, i := range c.meant(cmd.Members) {
+			if c.nodes[i] != nil {
+				continue
+			}
+			if c.nodes[i], err = hollow.Start(c.machine(i), c.plan.files(c.b, i, c.dir), hollow.Quiet(os.Stderr)); err != nil {
+				delete(c.nodes, i)
+				break
+			}
+			c.begun[i]++
+			time.Sleep(time.Duration(cmd.Gap * float64(time.Second))) // gently: nobody starts hundreds of nodes at one instant
+		}
+	case "end":
+		var all sync.WaitGroup
+		for _, i := range c.meant(cmd.Members) {
+			if n := c.nodes[i]; n != nil {
+				delete(c.nodes, i)
+				all.Go(func() { n.End(cmd.Crash) })
+			}
+		}
+		all.Wait()
+	case "cut":
+		c.cut.region.Store(int64(cmd.Region))
+	case "reload":
+		begin := time.Now()
+		for _, i := range c.meant(cmd.Members) {
+			text := c.plan.config(c.b, i, cmd.Number)
+			if n := c.nodes[i]; n != nil && err == nil {
+				r.Read += len(text)
+				err = n.Reload(text)
+			}
+		}
+		r.Took = time.Since(begin).Seconds()
+	case "report":
+		c.report(&r)
+	case "held":
+		c.held(&r)
+	default:
+		err = fmt.Errorf("%q is no command", cmd.Do)
+	}
+	if err != nil {
+		r.Err = err.Error()
+	}
+	return r
+}
+
+func (c *Child) meant(list []int) []int {
+	if len(list) == 0 {
+		return c.own
+	}
+	return list
+}
+
+// report says what the process has used and what its nodes hold. The processor time is read before the heap is looked at: that
+// collects garbage, which nobody but the tool asks for.
+func (c *Child) report(r *Reply) {
+	r.At, r.CPU = time.Since(c.start).Seconds(), ownCPU()
+	for _, i := range c.own {
+		n := NodeReport{Member: i, Starts: c.begun[i]}
+		if h := c.nodes[i]; h != nil {
+			n.State, n.Up = h.State()
+			n.Traffic = h.Traffic()
+		}
+		r.Nodes = append(r.Nodes, n)
+	}
+	r.RSS = rss(os.Getpid())
+	r.Calls, r.Bytes, r.Dropped = c.calls.Load(), c.bytes.Load(), c.cut.dropped.Load()
+	if d, err := os.ReadDir("/proc/self/fd"); err == nil {
+		r.Files = len(d)
+	}
+}
+
+// inUse is what the process's heap and its goroutines' stacks take.
+func inUse() (heap, stacks uint64) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc, m.StackInuse
+}
+
+// held looks at the heap, after a collection.
+func (c *Child) held(r *Reply) {
+	runtime.GC()
+	heap, stacks := inUse()
+	r.Heap, r.Stacks = heap-min(heap, c.heap), stacks
+}
+
+// ownCPU is the processor time of this process, by the operating system.
+func ownCPU() float64 {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
+}
+
+// rss is the memory that a process has resident; 0 if it is gone.
+func rss(pid int) uint64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	f := strings.Fields(string(text))
+	if err != nil || len(f) < 2 {
+		return 0
+	}
+	n, _ := strconv.ParseUint(f[1], 10, 64)
+	return n * uint64(os.Getpagesize())
+}
+
+// discovery lists the plan's workers.
+func (c *Child) discovery() error {
+	c.host = standin.NewSockets()
+	d := &standin.Discovery{Clock: c.host}
+	var f *standin.Front
+	listed := make(chan struct{})
+	c.host.Do(func() {
+		f = d.Front()
+		left := c.plan.Workers
+		d.Heard = func() {
+			if left--; left == 0 {
+				close(listed)
+			}
+		}
+		for _, e := range c.plan.entries(c.b) {
+			d.Set(e)
+		}
+	})
+	<-listed
+	_, err := c.host.ListenAt(c.b.discovery(), func(conn standin.Conn) standin.Handler {
+		h := f.Open(counted{conn, c})
+		if h == nil {
+			return nil
+		}
+		c.calls.Add(1) // each call has a connection of its own
+		return h
+	})
+	if err == nil && c.plan.ListMin > 0 {
+		go c.churn(d)
+	}
+	return err
+}
+
+// churn changes the list as the plan has it: a worker drains, and comes back with the next change.
+func (c *Child) churn(d *standin.Discovery) {
+	every := time.NewTicker(time.Duration(float64(time.Minute) / c.plan.ListMin))
+	defer every.Stop()
+	list := c.plan.entries(c.b)
+	for k := 0; ; k++ {
+		select {
+		case <-c.stop:
+			return
+		case <-every.C:
+		}
+		e := list[k/2%len(list)]
+		if k%2 == 0 {
+			e.State = "terminating"
+		}
+		c.host.Do(func() { d.Set(e) })
+	}
+}
+
+// counted counts what discovery writes.
+type counted struct {
+	standin.Conn
+	c *Child
+}
+
+// Write implements standin.Conn.
+func (k counted) Write(p []byte, m *standin.Mark) {
+	k.c.bytes.Add(int64(len(p)))
+	k.Conn.Write(p, m)
+}
+
+// unseen is a Watcher that nobody asks.
+type unseen struct{}
+
+func (unseen) Job(string, string, float64)                  {}
+func (unseen) Made(string, string, string)                  {}
+func (unseen) Began(string, string, time.Time, string) bool { return true }
+func (unseen) Ended(string, string, int, string)            {}
+func (unseen) Left(string, string)                          {}
+
+// workers opens the plan's workers.
+func (c *Child) workers() error {
+	c.host = standin.NewSockets()
+	classes := map[string]standin.Class{}
+	for t := range c.plan.Tenants {
+		classes[tenantName(t)] = standin.Class{}
+	}
+	fleet := standin.NewFleet(c.host, unseen{}, classes)
+	for w := range c.plan.Workers {
+		p := &standin.Peer{Fleet: fleet, ID: workerName(w), Zone: c.plan.workerZone(w), Cell: strconv.Itoa(w % 3), Kind: "std", Cores: 4, Slots: 4, Memory: 8, Speed: 1,
+			Queue: 3, Refresh: 300 * time.Millisecond, Progress: time.Second, ColdFrom: 0.13, ColdFor: 8 * time.Second, Idle: time.Minute, Returns: true, Result: -1}
+		p.Seed(c.plan.Seed)
+		c.host.Do(func() { p.Start(false) })
+		if _, err := c.host.ListenAt(c.b.worker(w), func(conn standin.Conn) standin.Handler {
+			c.calls.Add(1)
+			if h := p.Open(conn); h != nil {
+				return h
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// machine is the one that a hollow node runs on: the real one, but that a cut drops its datagrams.
+func (c *Child) machine(i int) machine.Machine {
+	m := machine.Real()
+	open := m.Datagrams
+	m.Datagrams = func(addr string) (net.PacketConn, error) {
+		sock, err := open(addr)
+		if err != nil {
+			return nil, err
+		}
+		return &filter{PacketConn: sock, cut: c.cut, own: c.plan.region(i)}, nil
+	}
+	return m
+}
+
+// cut says which region is cut off from the others.
+type cut struct {
+	plan    *Plan
+	b       places
+	region  atomic.Int64 // -1: none
+	dropped atomic.Int64
+}
+
+// between reports whether datagrams between a region and an address are dropped.
+func (k *cut) between(own int, addr net.Addr) bool {
+	r := int(k.region.Load())
+	if r < 0 {
+		return false
+	}
+	i := k.b.at(addr.String())
+	if i < 0 || i >= k.plan.Members {
+		return false
+	}
+	if (own == r) == (k.plan.region(i) == r) {
+		return false
+	}
+	k.dropped.Add(1)
+	return true
+}
+
+// filter is a socket whose datagrams a cut drops, both ways.
+type filter struct {
+	net.PacketConn
+	cut *cut
+	own int
+}
+
+// WriteTo implements net.PacketConn.
+func (f *filter) WriteTo(p []byte, to net.Addr) (int, error) {
+	if f.cut.between(f.own, to) {
+		return len(p), nil // lost on the way
+	}
+	return f.PacketConn.WriteTo(p, to)
+}
+
+// ReadFrom implements net.PacketConn.
+func (f *filter) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := f.PacketConn.ReadFrom(p)
+		if err != nil || !f.cut.between(f.own, from) {
+			return n, from, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/fault.go
@@ -0,0 +1,206 @@
+package scale
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"swiftdeal/internal/scale/record"
+)
+
+// Faults are the faults that a plan may have, with what each is.
+var Faults = map[string]string{
+	"region": "the last region is cut off from the others, and the cut heals: datagrams between hollow nodes of both sides, and between them and real ones, are dropped",
+	"zone":   "all hollow nodes of one zone of the last region crash at once, and are started again",
+	"rack":   "all hollow nodes of one rack of that zone crash at once, and are started again",
+	"day":    "an ordinary day in short: 3 hollow nodes crash and are started again, 47 are restarted, at times that the seed draws",
+}
+
+// An ordinary day has so many.
+const (
+	dayFailures = 3
+	dayRestarts = 47
+)
+
+// hit are the hollow nodes that a fault strikes.
+func (p *Plan) hit() (list []int) {
+	last := p.Regions - 1
+	for i := p.Seats + p.Real; i < p.Members; i++ {
+		switch p.Fault {
+		case "region":
+			if p.region(i) == last {
+				list = append(list, i)
+			}
+		case "zone":
+			if p.region(i) == last && p.zone(i) == p.Zones-1 {
+				list = append(list, i)
+			}
+		case "rack":
+			if p.region(i) == last && p.zone(i) == p.Zones-1 && p.rack(i) == p.Racks-1 {
+				list = append(list, i)
+			}
+		}
+	}
+	return list
+}
+
+// tell has each process do something with those of its members that are listed; processes with none are left alone.
+func (f *field) tell(cmd Command, list []int) error {
+	return f.each(func(g int) error {
+		c := cmd
+		c.Members = slices.DeleteFunc(slices.Clone(f.members[g]), func(i int) bool { return !slices.Contains(list, i) })
+		if len(c.Members) == 0 {
+			return nil
+		}
+		_, err := f.kids[g].do(c)
+		return err
+	})
+}
+
+// strike begins or ends a fault, and says what members are to see then.
+func (f *field) strike(begin bool) (view, error) {
+	hit := f.p.hit()
+	if len(hit) == 0 {
+		return nil, fmt.Errorf("members: %d have no hollow node that fault %q would strike", f.p.Members, f.p.Fault)
+	}
+	switch {
+	case f.p.Fault == "region":
+		region := -1
+		if begin {
+			region = f.p.Regions - 1
+		}
+		side := 0
+		for i := range f.p.Members {
+			if f.p.region(i) == f.p.Regions-1 {
+				side++
+			}
+		}
+		err := f.each(func(g int) error {
+			_, err := f.kids[g].do(Command{Do: "cut", Region: region})
+			return err
+		})
+		if !begin {
+			return f.all, err
+		}
+		return func(i int) int {
+			if f.p.region(i) == f.p.Regions-1 {
+				return side
+			}
+			return f.p.Members - side
+		}, err
+	case begin:
+		return func(i int) int {
+			if slices.Contains(hit, i) {
+				return -1
+			}
+			return f.p.Members - len(hit)
+		}, f.tell(Command{Do: "end", Crash: true}, hit)
+	}
+	return f.all, f.tell(Command{Do: "start", Gap: gap.Seconds()}, hit)
+}
+
+// fault measures before, during and after a fault: three points, of sizes 0, 1 and 2.
+func (f *field) fault(whole time.Duration) (points []record.Point, err error) {
+	add := func(size float64, p record.Point, took time.Duration, what string) {
+		p.Size = size
+		one(&p, "tool", what, "s", took.Seconds())
+		points = append(points, p)
+	}
+	before, err := f.measure(f.p.seconds())
+	if err != nil {
+		return nil, err
+	}
+	add(0, before, whole, "one_view_s")
+	type result struct {
+		took time.Duration
+		err  error
+	}
+	phase := func(size float64, what string, long time.Duration, want view) error {
+		seen := make(chan result, 1)
+		go func() {
+			took, err := f.until(what, f.wrong(want))
+			seen <- result{took, err}
+		}()
+		p, err := f.measure(long)
+		r := <-seen
+		if err == nil {
+			err = r.err
+		}
+		if err == nil {
+			add(size, p, r.took, "one_view_s")
+		}
+		return err
+	}
+	if f.p.Fault == "day" {
+		day := make(chan error, 1)
+		go func() { day <- f.day() }()
+		p, err := f.measure(f.p.faultLong())
+		if late := <-day; err == nil {
+			err = late
+		}
+		if err != nil {
+			return points, err
+		}
+		took, err := f.until("one view after the day", f.wrong(f.all))
+		if err != nil {
+			return points, err
+		}
+		add(1, p, took, "one_view_s")
+		after, err := f.measure(f.p.seconds())
+		if err == nil {
+			after.Size = 2
+			points = append(points, after)
+		}
+		return points, err
+	}
+	want, err := f.strike(true)
+	if err == nil {
+		err = phase(1, "all have noticed", f.p.faultLong(), want)
+	}
+	if err != nil {
+		return points, err
+	}
+	if want, err = f.strike(false); err == nil {
+		err = phase(2, "one view again", f.p.seconds(), want)
+	}
+	return points, err
+}
+
+// day plays an ordinary day's failures and restarts.
+func (f *field) day() error {
+	rnd := rand.New(rand.NewPCG(f.p.Seed, 17))
+	var hollow []int
+	for i := f.p.Seats + f.p.Real; i < f.p.Members; i++ {
+		hollow = append(hollow, i)
+	}
+	type event struct {
+		at    time.Duration
+		node  int
+		crash bool
+	}
+	var list []event
+	for k := range dayFailures + dayRestarts {
+		list = append(list, event{time.Duration(rnd.Float64() * float64(f.p.faultLong())), hollow[rnd.IntN(len(hollow))], k < dayFailures})
+	}
+	slices.SortFunc(list, func(a, b event) int { return int(a.at - b.at) })
+	begin := time.Now()
+	for _, e := range list {
+		if left := e.at - time.Since(begin); left > 0 {
+			timer := time.NewTimer(left)
+			select {
+			case <-f.ctx.Done():
+				timer.Stop()
+				return f.ctx.Err()
+			case <-timer.C:
+			}
+		}
+		if err := f.tell(Command{Do: "end", Crash: e.crash}, []int{e.node}); err != nil {
+			return err
+		}
+		if err := f.tell(Command{Do: "start"}, []int{e.node}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/plan.go
@@ -0,0 +1,293 @@
+// Package scale measures what a fleet costs at size: hollow nodes (package hollow), real processes of the program, workers and a
+// discovery, all on loopback of one machine, in processes of their own that this package starts and ends.
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"swiftdeal/internal/scale/hollow"
+	"swiftdeal/internal/standin"
+)
+
+// Plan is what one point of a run is made of.
+type Plan struct {
+	Members    int // of the fleet: seats, real ones and hollow ones
+	Seats      int // of the council: hollow, each in a process of its own; 3, 5 or 7
+	Real       int // processes of the program
+	Workers    int
+	Tenants    int // a class of jobs each
+	Regions    int
+	Zones      int // of each region
+	Racks      int // of each zone
+	PeriodMs   int
+	Seconds    float64 // that are measured
+	PerProcess int     // hollow nodes in a process
+	Rate       float64 // jobs a second at the real nodes
+	WorkMs     float64 // of a job
+	Changes    float64 // of the configuration at every node, a minute
+	ListMin    float64 // changes of discovery's list, a minute
+	Fault      string  // "", or one of Faults
+	FaultS     float64 // for which it lasts
+	Seed       uint64
+}
+
+// Defaults is the plan that sweeps start from.
+func Defaults() Plan {
+	return Plan{Members: 64, Seats: 3, Real: 3, Workers: 80, Tenants: 10, Regions: 3, Zones: 4, Racks: 2, PeriodMs: 1000, Seconds: 30, PerProcess: 25,
+		Rate: 20, WorkMs: 30, ListMin: 6, Seed: 1}
+}
+
+// Bounds of a plan, whatever is asked for.
+const (
+	mostProcesses = 200
+	mostFiles     = 20_000
+	mostWorkers   = 2000
+	mostTenants   = 500
+)
+
+// Bytes that a plan is reckoned with before it starts, rounded up from what was measured on amd64 (docs/operators/scale.md).
+const (
+	processBytes = 24 << 20 // a child without any node, and a real node without a fleet
+	nodeBytes    = 192 << 10
+	memberBytes  = 2600 // for each member that a node holds
+	workerBytes  = 700  // for each worker that a node holds
+	tenantBytes  = 3 << 10
+	standinBytes = 160 << 10 // a worker, or a watch at discovery
+)
+
+// Host is what a run may use of a machine.
+type Host struct {
+	Cores  int
+	Memory uint64 // bytes
+}
+
+// processes is how many a plan starts, the tool among them.
+func (p *Plan) processes() int { return 3 + p.Real + p.Seats + len(p.groups()) }
+
+// bytes is the memory that a plan is reckoned to take.
+func (p *Plan) bytes() uint64 {
+	node := nodeBytes + memberBytes*p.Members + workerBytes*p.Workers + tenantBytes*p.Tenants
+	return uint64(p.processes()*processBytes + p.Members*node + (p.Workers+p.Members)*standinBytes)
+}
+
+// Check names what is wrong with a plan, or why this machine is not to run it.
+func (p *Plan) Check(h Host) error {
+	for _, n := range []struct {
+		name        string
+		value       float64
+		least, most float64
+	}{
+		{"members", float64(p.Members), 4, 4096}, {"real", float64(p.Real), 0, 64}, {"workers", float64(p.Workers), 1, mostWorkers}, {"tenants", float64(p.Tenants), 1, mostTenants},
+		{"regions", float64(p.Regions), 1, 64}, {"zones", float64(p.Zones), 1, 64}, {"racks", float64(p.Racks), 1, 64}, {"period-ms", float64(p.PeriodMs), 50, 60_000},
+		{"seconds", p.Seconds, 0.1, 3600}, {"per-process", float64(p.PerProcess), 1, 500}, {"rate", p.Rate, 0, 1000}, {"work-ms", p.WorkMs, 1, 600_000}, {"changes", p.Changes, 0, 600},
+		{"list-changes", p.ListMin, 0, 6000}, {"fault-s", p.FaultS, 0, 3600},
+	} {
+		if !(n.value >= n.least && n.value <= n.most) {
+			return fmt.Errorf("%s: %g is out of range, %g to %g", n.name, n.value, n.least, n.most)
+		}
+	}
+	switch {
+	case p.Seats != 3 && p.Seats != 5 && p.Seats != 7:
+		return fmt.Errorf("seats: %d, not 3, 5 or 7", p.Seats)
+	case p.Seats+p.Real >= p.Members:
+		return fmt.Errorf("members: %d leave no hollow node beside %d seats and %d real ones", p.Members, p.Seats, p.Real)
+	case p.Real == 0 && p.Rate > 0:
+		return fmt.Errorf("rate: %g jobs a second, and real: 0 nodes to serve them", p.Rate)
+	case p.Fault != "" && Faults[p.Fault] == "":
+		return fmt.Errorf("fault: %q is none of them", p.Fault)
+	case p.Fault != "" && p.FaultS == 0:
+		return fmt.Errorf("fault-s: 0, and fault %q is to last", p.Fault)
+	case p.Fault == "region" && p.Regions < 2:
+		return fmt.Errorf("regions: %d, and fault %q needs 2 or more", p.Regions, p.Fault)
+	case (p.Fault == "zone" || p.Fault == "rack") && p.Regions*p.Zones < 2:
+		return fmt.Errorf("zones: %d, and fault %q needs a second one", p.Zones, p.Fault)
+	}
+	if n := p.processes(); n > mostProcesses {
+		return fmt.Errorf("per-process: %d hollow nodes in each make %d processes, %d at most", p.PerProcess, n, mostProcesses)
+	}
+	if n := max(p.Members, p.Workers*(1+p.Real)) * 4; n > mostFiles {
+		return fmt.Errorf("members: %d with %d workers take %d descriptors in one process, %d at most", p.Members, p.Workers, n, mostFiles)
+	}
+	if most := h.Memory / 2; p.bytes() > most {
+		return fmt.Errorf("members: %d with %d workers and %d tenants are reckoned to take %d MiB, %d at most: half of this machine's memory", p.Members, p.Workers, p.Tenants, p.bytes()>>20, most>>20)
+	}
+	return nil
+}
+
+// values is the plan as a point records it.
+func (p *Plan) values() map[string]float64 {
+	return map[string]float64{"members": float64(p.Members), "seats": float64(p.Seats), "real": float64(p.Real), "workers": float64(p.Workers), "tenants": float64(p.Tenants),
+		"regions": float64(p.Regions), "zones": float64(p.Zones), "racks": float64(p.Racks), "period_ms": float64(p.PeriodMs), "seconds": p.Seconds, "per_process": float64(p.PerProcess),
+		"rate": p.Rate, "work_ms": p.WorkMs, "changes_min": p.Changes, "list_changes_min": p.ListMin, "fault_s": p.FaultS, "seed": float64(p.Seed), "processes": float64(p.processes())}
+}
+
+// Members are numbered: first the seats, then the real ones, then the hollow ones.
+func (p *Plan) isSeat(i int) bool { return i < p.Seats }
+func (p *Plan) isReal(i int) bool { return i >= p.Seats && i < p.Seats+p.Real }
+
+func (p *Plan) role(i int) string {
+	switch {
+	case p.isSeat(i):
+		return "seat"
+	case p.isReal(i):
+		return "real"
+	}
+	return "hollow"
+}
+
+// groups are the hollow nodes of each process.
+func (p *Plan) groups() (list [][]int) {
+	for i := p.Seats + p.Real; i < p.Members; i++ {
+		if n := len(list); n == 0 || len(list[n-1]) >= p.PerProcess {
+			list = append(list, nil)
+		}
+		list[len(list)-1] = append(list[len(list)-1], i)
+	}
+	return list
+}
+
+// region, zone and rack say where a member runs. No real one runs in the last region, which is the one that faults cut off: what
+// drops datagrams sits in hollow nodes alone.
+func (p *Plan) region(i int) int {
+	if p.isReal(i) {
+		return i % max(p.Regions-1, 1)
+	}
+	return i % p.Regions
+}
+func (p *Plan) zone(i int) int { return i / p.Regions % p.Zones }
+func (p *Plan) rack(i int) int { return i / (p.Regions * p.Zones) % p.Racks }
+
+func zoneName(region, zone int) string   { return fmt.Sprintf("r%d-z%d", region, zone) }
+func (p *Plan) site(i int) string        { return zoneName(p.region(i), p.zone(i)) }
+func (p *Plan) workerZone(w int) string  { return zoneName(w%p.Regions, w/p.Regions%p.Zones) }
+func memberName(i int) string            { return fmt.Sprintf("n%d", i) }
+func workerName(w int) string            { return fmt.Sprintf("w%d", w) }
+func tenantName(t int) string            { return fmt.Sprintf("tenant-%03d", t) }
+func (p *Plan) period() time.Duration    { return time.Duration(p.PeriodMs) * time.Millisecond }
+func (p *Plan) seconds() time.Duration   { return time.Duration(p.Seconds * float64(time.Second)) }
+func (p *Plan) faultLong() time.Duration { return time.Duration(p.FaultS * float64(time.Second)) }
+
+// Ports, of addresses that belong to the run's block alone.
+const (
+	lockPort    = 7000
+	clientsPort = 7001
+	controlPort = 7002
+	discoPort   = 7100
+	workerPort  = 7200
+	gossipPort  = 7946
+	workersHost = 250 // third byte of workers' addresses
+	eachHost    = 200 // members, or workers, in a third byte
+)
+
+// places are the addresses of a run: a /16 of loopback.
+type places int
+
+func (b places) member(i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", int(b), 1+i/eachHost, 1+i%eachHost, port)
+}
+func (b places) discovery() string { return fmt.Sprintf("127.%d.0.2:%d", int(b), discoPort) }
+func (b places) worker(w int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", int(b), workersHost, 1+w%eachHost, workerPort+w/eachHost)
+}
+func (b places) lock() string { return fmt.Sprintf("127.%d.0.1:%d", int(b), lockPort) }
+
+// at is the member whose address it is; -1 for nobody's.
+func (b places) at(addr string) int {
+	host, _, _ := strings.Cut(addr, ":")
+	f := strings.Split(host, ".")
+	if len(f) != 4 || f[1] != strconv.Itoa(int(b)) {
+		return -1
+	}
+	hi, _ := strconv.Atoi(f[2])
+	lo, _ := strconv.Atoi(f[3])
+	return (hi-1)*eachHost + lo - 1
+}
+
+// entries are what discovery lists.
+func (p *Plan) entries(b places) (list []standin.Entry) {
+	for w := range p.Workers {
+		list = append(list, standin.Entry{ID: workerName(w), Addr: b.worker(w), Zone: p.workerZone(w), Kind: "std", Cell: w % 3, State: "in_service", Weight: 1})
+	}
+	return list
+}
+
+// config words a member's configuration. revision changes a price, so that one file differs from the next.
+func (p *Plan) config(b places, i, revision int) []byte {
+	var profiles []map[string]any
+	for t := range p.Tenants {
+		profiles = append(profiles, map[string]any{"name": tenantName(t), "effect": "retryable", "aimMs": 1500, "deadlineMs": 20000, "worth": 1 + t%5})
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": memberName(i), "listen": b.member(i, clientsPort), "control": b.member(i, controlPort), "discovery": b.discovery(), "seed": fmt.Sprintf("%x", p.Seed+uint64(i)),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 4096}, "known": json.RawMessage(standin.Text(0, true, nil)),
+		"settings": map[string]any{
+			"az": p.site(i), "balancers": p.Members, "me": i, "discovery": "on_request", "stepMs": 1,
+			"familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": true, "progressMs": 1000, "queueOrder": "fifo"},
+			"limits": map[string]any{"cancelling": true, "probing": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterMs": 2000, "connIdleMs": 60000,
+				"dialTimeoutMs": 250, "maxAttempts": 4},
+			"loadReport":  map[string]any{"fields": []string{"tps", "concurrent", "x0", "x1"}, "how": "pull"},
+			"obligations": map[string]any{"coldFrom": 0.13, "coldMs": 8000, "fallMultiple": 3, "overloadForMs": 3000},
+			"prices":      map[string]any{"crossZone": 0.029 + float64(revision%100)/1e4, "waste": 0.04, "lateFail": 0.08, "probe": 0.002},
+			"profiles":    profiles,
+		},
+	})
+	if err != nil {
+		panic(err) // it holds nothing that JSON lacks
+	}
+	return text
+}
+
+// fleet words a member's part in the fleet. dir is where seats keep what they have promised.
+func (p *Plan) fleet(b places, i int, dir string) []byte {
+	var t bytes.Buffer
+	at := b.member(i, gossipPort)
+	quoted := func(of func(int) string, n int) string {
+		var l []string
+		for j := range n {
+			l = append(l, strconv.Quote(of(j)))
+		}
+		return strings.Join(l, ", ")
+	}
+	fmt.Fprintf(&t, "[fleet]\nname = \"scale\"\n[member]\nname = %q\nsite = %q\nlisten = %q\nadvertise = %q\n", memberName(i), p.site(i), at, at)
+	fmt.Fprintf(&t, "[view]\nseeds = [%s]\nallow = [\"127.%d.0.0/16\"]\nperiod_ms = %d\nmost_members = %d\n", quoted(func(j int) string { return b.member(j, gossipPort) }, p.Seats), int(b), p.PeriodMs, max(1024, 2*p.Members))
+	fmt.Fprintf(&t, "[council]\nseats = [%s]\n", quoted(memberName, p.Seats))
+	if p.isSeat(i) {
+		fmt.Fprintf(&t, "dir = %q\n", filepath.Join(dir, memberName(i)+".council"))
+	}
+	fmt.Fprintf(&t, "[budget]\nnodes = %d\nnodes_site = 1\nworkers = %d\n", max(1, p.Members/20), max(1, p.Workers/20))
+	return t.Bytes()
+}
+
+func (p *Plan) files(b places, i int, dir string) hollow.Files {
+	return hollow.Files{Config: p.config(b, i, 0), Fleet: p.fleet(b, i, dir)}
+}
+
+// ThisHost is the machine that runs this.
+func ThisHost() (h Host, err error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return h, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if v, ok := strings.CutPrefix(line, "MemTotal:"); ok {
+			kib, _ := strconv.ParseUint(strings.Fields(v)[0], 10, 64)
+			h.Memory = kib << 10
+		}
+	}
+	if text, err := os.ReadFile("/sys/fs/cgroup/memory.max"); err == nil {
+		if n, err := strconv.ParseUint(strings.TrimSpace(string(text)), 10, 64); err == nil {
+			h.Memory = min(h.Memory, n)
+		}
+	}
+	if h.Memory == 0 {
+		return h, fmt.Errorf("/proc/meminfo: no MemTotal")
+	}
+	return h, nil
+}
