--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -27,10 +27,11 @@
 
 // Node is one hollow node.
 type Node struct {
-	m    machine.Machine
-	fc   *config.Fleet
-	log  *slog.Logger
-	book *facts.Book
+	m     machine.Machine
+	fc    *config.Fleet
+	log   *slog.Logger
+	book  *facts.Book
+	begun time.Time
 
 	mu    sync.Mutex
 	c     *config.Config // as last read
@@ -52,8 +53,8 @@
 	Fleet  []byte // TOML
 }
 
-// load reads a configuration as the product does.
-func load(text []byte, running *config.Config) (*config.Config, error) {
+// read reads a configuration as the product does.
+func read(text []byte, running *config.Config) (*config.Config, error) {
 	env := func(key string) string { return map[string]string{"GW_CONFIG": "config.json"}[key] }
 	open := func(string) ([]byte, error) { return text, nil }
 	if running != nil {
@@ -64,7 +65,7 @@
 
 // Start starts a node.
 func Start(m machine.Machine, f Files, log *slog.Logger) (*Node, error) {
-	c, err := load(f.Config, nil)
+	c, err := read(f.Config, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +74,7 @@
 		return nil, err
 	}
 	c.Fleet, c.Program = fc, "0.1.0"
-	n := &Node{m: m, c: c, text: f.Config, fc: fc, log: log.With("node", c.Name), book: facts.New(facts.Defaults(c.Settings.Balance.ColdFor))}
+	n := &Node{m: m, begun: time.Now(), c: c, text: f.Config, fc: fc, log: log.With("node", c.Name), book: facts.New(facts.Defaults(c.Settings.Balance.ColdFor))}
 	n.drainer = seat.NewDrainer(list{n}, func(peers []string, quiet func([]string)) { go quiet(peers) }) // no try is anywhere
 	n.upstream = upstream.New(c.Limits, m.Dial, c.Discovery, 0, n.drainer)
 	o := gossip.Options{Fleet: fc, Name: c.Name, Clients: c.Listen, Control: c.Control, Program: c.Program, Own: n.own, BindWait: c.Limits.BindWait}
@@ -137,11 +138,15 @@
 	return s
 }
 
-// own is what the node says of itself: that it serves, and room for each class, as a node that stands idle would.
+// load is what a hollow node says that it serves, jobs a second: a node that had nothing to tell would send shorter words than one
+// with clients.
+const load = 6.5
+
+// own is what the node says of itself: that it serves a small load, and room for each class.
 func (n *Node) own() gossip.Own {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	o := gossip.Own{State: host{n}.State(), Digest: wire.Digest{Workers: uint32(len(n.group.Peers)), Room: map[string]int32{}}}
+	o := gossip.Own{State: host{n}.State(), Digest: wire.Digest{Open: 1, Served: load, Workers: uint32(len(n.group.Peers)), Room: map[string]int32{}}}
 	for _, name := range n.c.Settings.ClassNames() {
 		o.Digest.Room[name] = int32(len(n.group.Peers))
 	}
@@ -183,8 +188,24 @@
 // Told implements seat.Host.
 func (h host) Told(told bool) { h.n.told.Store(told) }
 
-// Counts implements seat.Host.
-func (h host) Counts() map[string]rollout.Count { return map[string]rollout.Count{} }
+// Counts implements seat.Host: the load, spread over as many classes as a node tells of at most.
+func (h host) Counts() map[string]rollout.Count {
+	h.n.mu.Lock()
+	names := h.n.c.Settings.ClassNames()
+	h.n.mu.Unlock()
+	names = names[:min(len(names), mostCounts)]
+	served := int64(load * time.Since(h.n.begun).Seconds())
+	counts := map[string]rollout.Count{}
+	for i, name := range names {
+		if n := (served + int64(i)) / int64(len(names)); n > 0 {
+			counts[name] = rollout.Count{Served: n}
+		}
+	}
+	return counts
+}
+
+// mostCounts is how many classes a node tells the council of.
+const mostCounts = 12
 
 // Known implements seat.Host.
 func (h host) Known() (map[string]balance.Known, map[string]int) {
@@ -206,7 +227,7 @@
 	n.mu.Lock()
 	running := n.c
 	n.mu.Unlock()
-	c, err := load(text, running)
+	c, err := read(text, running)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -55,9 +55,9 @@
 // Bytes that a plan is reckoned with before it starts, rounded up from what was measured on amd64 (docs/operators/scale.md).
 const (
 	processBytes = 24 << 20 // a child without any node, and a real node without a fleet
-	nodeBytes    = 192 << 10
-	memberBytes  = 2600 // for each member that a node holds
-	workerBytes  = 700  // for each worker that a node holds
+	nodeBytes    = 320 << 10
+	memberBytes  = 4000 // for each member that a node holds
+	workerBytes  = 1200 // for each worker that a node holds
 	tenantBytes  = 3 << 10
 	standinBytes = 160 << 10 // a worker, or a watch at discovery
 )
