--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -476,6 +476,7 @@
 		g.add(role, "rss_bytes", "B", float64(y.RSS)/n)
 		g.add(role, "heap_bytes", "B", float64(held[k].Heap)/n)
 		g.add(role, "stack_bytes", "B", float64(held[k].Stacks)/n)
+		g.add(role, "cut_msgs_s", "1/s", float64(y.Dropped-x.Dropped)/span/n)
 		g.add(role, "files", "descriptors", float64(y.Files)/n)
 		for i := range y.Nodes {
 			if y.Nodes[i].Up && x.Nodes[i].Up && y.Nodes[i].Starts == x.Nodes[i].Starts {
