--- a/tools/scale/run.go
+++ b/tools/scale/run.go
@@ -39,8 +39,13 @@
 	ListMin    float64 `name:"list-changes" default:"6" help:"Of discovery's list, a minute."`
 	Seed       uint64  `default:"1"`
 	SettleS    float64 `default:"180" help:"For the fleet to have one view."`
+
+	later int // sizes that are still to come, for progress
 }
 
+// aside is how many seconds a size takes beside those that are measured, about.
+const aside = 30
+
 func (h *how) plan() scale.Plan {
 	return scale.Plan{Members: h.Members, Seats: h.Seats, Real: h.Real, Workers: h.Workers, Tenants: h.Tenants, Regions: h.Regions, Zones: h.Zones, Racks: h.Racks, PeriodMs: h.PeriodMs,
 		Seconds: h.Seconds, PerProcess: h.PerProcess, Rate: h.Rate, WorkMs: h.WorkMs, Changes: h.Changes, ListMin: h.ListMin, Seed: h.Seed}
@@ -89,7 +94,10 @@
 			if left > 0 {
 				more = fmt.Sprintf(", %.0f s left of it", left.Seconds())
 			}
-			fmt.Fprintf(os.Stderr, "\r%-12s %-110.110s", what, text+more)
+			if h.later > 0 {
+				more += fmt.Sprintf("; then %d sizes, some %.0f s", h.later, float64(h.later)*(h.Seconds+aside))
+			}
+			fmt.Fprintf(os.Stderr, "\r%-10s %-130.130s", what, text+more)
 			if strings.Contains(text, " done in ") {
 				fmt.Fprintln(os.Stderr)
 			}
@@ -133,6 +141,7 @@
 	}
 	return scale.Run(ctx, name, join(s.Note, r.Note), r.Out, r.Sweep, sizes, r.Add, func(ctx context.Context, size float64) ([]record.Point, error) {
 		p := plans[size]
+		r.later = len(sizes) - 1 - slices.Index(sizes, size)
 		points, err := scale.Play(ctx, &p, o)
 		for i := range points {
 			points[i].Size = size
