Revisions of the fleet's settings: state, and how nodes spread them

Need: a change of configuration reaches a node as a file and SIGHUP alone, node by node, and nothing says where it is in force.

--- /dev/null
+++ b/internal/fleet/revision/revision.go
@@ -0,0 +1,201 @@
+// Package revision brings one configuration to all nodes of a fleet. The council decides on revisions, one after the other;
+// State is what it keeps of them. Core is one node's part in spreading them: nodes tell one another which revision they
+// hold, fetch a newer one in parts from whoever has it, and hand it over to be put into effect once it is whole. Both are
+// state machines: events in, actions out, no I/O, no clock, randomness handed in. docs/design/revision.md has the argument.
+package revision
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"swiftdeal/internal/fleet/accord"
+	"swiftdeal/internal/fleet/wire"
+)
+
+// ID names a revision and orders all that there have ever been: those of a later group of the council come after those of
+// an earlier one, which may have been forgotten.
+type ID struct {
+	Group accord.Group `cbor:"1,keyasint,omitempty"`
+	No    uint64       `cbor:"2,keyasint,omitempty"`
+}
+
+// Compare orders revisions: nobody who holds a later one heeds an earlier one.
+func (i ID) Compare(o ID) int { return cmp.Or(i.Group.Compare(o.Group), cmp.Compare(i.No, o.No)) }
+
+// None reports whether it is no revision.
+func (i ID) None() bool { return i == ID{} }
+
+// String words an ID as operators see it and ParseID reads it: its number, and the group's number and mark.
+func (i ID) String() string {
+	if i.None() {
+		return "none"
+	}
+	return fmt.Sprintf("%d@%d.%x", i.No, i.Group.Number, i.Group.Mark)
+}
+
+// ParseID reads what String has worded.
+func ParseID(s string) (ID, error) {
+	if s == "none" {
+		return ID{}, nil
+	}
+	no, group, ok := strings.Cut(s, "@")
+	number, mark, ok2 := strings.Cut(group, ".")
+	var i ID
+	var err [3]error
+	i.No, err[0] = strconv.ParseUint(no, 10, 64)
+	i.Group.Number, err[1] = strconv.ParseUint(number, 10, 64)
+	i.Group.Mark, err[2] = strconv.ParseUint(mark, 16, 64)
+	if !ok || !ok2 || errors.Join(err[:]...) != nil {
+		return ID{}, fmt.Errorf("%q is no revision: they read like 12@1.3fa9, as status shows them", s)
+	}
+	return i, nil
+}
+
+// MarshalText implements encoding.TextMarshaler, for reports.
+func (i ID) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (i *ID) UnmarshalText(b []byte) (err error) {
+	*i, err = ParseID(string(b))
+	return err
+}
+
+// Bounds on what is agreed on and spread.
+const (
+	MostBody     = 64 << 10 // bytes of a body, packed
+	MostSettings = 1 << 20  // bytes of its settings, unpacked
+	MostWord     = 400      // bytes of By and of Why
+)
+
+// Sum is a body's SHA-256.
+type Sum [sha256.Size]byte
+
+// SumOf returns a body's sum.
+func SumOf(body []byte) Sum { return sha256.Sum256(body) }
+
+// Head is what is told of a revision without its body.
+type Head struct {
+	ID   ID
+	Sum  Sum
+	Size int
+}
+
+// Revision is a configuration with its place among all others.
+type Revision struct {
+	ID   ID     `cbor:"1,keyasint"`
+	Body []byte `cbor:"2,keyasint"` // as Pack has worded it
+}
+
+// Head returns what is told of it; of none, of nil.
+func (r *Revision) Head() Head {
+	if r == nil {
+		return Head{}
+	}
+	return Head{r.ID, SumOf(r.Body), len(r.Body)}
+}
+
+// Content is what a revision's body says.
+type Content struct {
+	Settings []byte // JSON: an object of keys of the settings, laid over those of each node's file
+	By, Why  string
+	At       int64 // Unix time in ms of the node that was asked, for people to read; nothing is decided by it
+}
+
+// packed mirrors a body.
+type packed struct {
+	Settings []byte `cbor:"1,keyasint"` // deflated
+	By       string `cbor:"2,keyasint,omitempty"`
+	Why      string `cbor:"3,keyasint,omitempty"`
+	At       int64  `cbor:"4,keyasint,omitempty"`
+}
+
+// Pack words a content as a body.
+func Pack(c Content) ([]byte, error) {
+	if len(c.Settings) > MostSettings {
+		return nil, fmt.Errorf("%d bytes of settings, %d at most", len(c.Settings), MostSettings)
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(c.Settings); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	clip := func(s string) string { return strings.ToValidUTF8(s[:min(len(s), MostWord)], "") }
+	body := wire.Word(packed{b.Bytes(), clip(c.By), clip(c.Why), c.At})
+	if len(body) > MostBody {
+		return nil, fmt.Errorf("%d bytes when packed, %d at most", len(body), MostBody)
+	}
+	return body, nil
+}
+
+// Unpack reads a body. It guards against one that unpacks without end.
+func Unpack(body []byte) (Content, error) {
+	var p packed
+	if len(body) > MostBody {
+		return Content{}, fmt.Errorf("%w: %d bytes", wire.ErrSize, len(body))
+	}
+	if err := wire.Read(body, &p); err != nil {
+		return Content{}, err
+	}
+	s, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Settings)), MostSettings+1))
+	if err == nil && len(s) > MostSettings {
+		err = wire.ErrSize
+	}
+	if err != nil {
+		return Content{}, fmt.Errorf("settings of a revision: %w", err)
+	}
+	return Content{s, p.By, p.Why, p.At}, nil
+}
+
+// State is what the council keeps: the revision that is to be in force, and the one before it, for the way back. The same
+// commands give the same state at every seat.
+type State struct {
+	Current *Revision `cbor:"1,keyasint,omitempty"`
+	Prior   *Revision `cbor:"2,keyasint,omitempty"`
+}
+
+// Op is what a command does.
+type Op uint8
+
+// Commands.
+const (
+	Set   Op = 1 + iota // Next takes the place of Base
+	Adopt               // Next was decided on by an earlier group and is in force at nodes: it is kept as it is
+)
+
+// Command is one entry of the council's log on revisions. The leader gives Next its ID.
+type Command struct {
+	Op   Op        `cbor:"1,keyasint"`
+	Base ID        `cbor:"2,keyasint,omitempty"` // of Set: the one that whoever asks has seen
+	Next *Revision `cbor:"3,keyasint"`
+}
+
+// Apply puts a command into effect. It says why it does not.
+func (s *State) Apply(c *Command) (why string) {
+	now := s.Current.Head().ID
+	switch {
+	case c.Next == nil || len(c.Next.Body) == 0 || len(c.Next.Body) > MostBody:
+		return "a revision without a body, or with one that is too large"
+	case c.Op == Set && c.Base != now:
+		// Guards against two changes at once, of which the later one would undo the earlier one unseen.
+		return fmt.Sprintf("revision %v is the latest, not %v: look at it and ask again", now, c.Base)
+	case c.Next.ID.Compare(now) <= 0:
+		return fmt.Sprintf("revision %v is the latest; %v does not come after it", now, c.Next.ID)
+	case c.Op != Set && c.Op != Adopt:
+		return "a command that this version does not know"
+	}
+	s.Prior, s.Current = s.Current, c.Next
+	return ""
+}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -51,9 +51,10 @@
 	Council                   // between seats of the council: what Body holds is package accord's
 	Ask                       // to a seat of the council, by any member
 	Answer                    // to an Ask
+	Revision                  // between nodes that spread the fleet's settings: what Body holds is package revision's
 )
 
-var kinds = [...]string{"", "ping", "ack", "nack", "ping-req", "gossip", "hello", "challenge", "welcome", "summary", "tell", "want", "council", "ask", "answer"}
+var kinds = [...]string{"", "ping", "ack", "nack", "ping-req", "gossip", "hello", "challenge", "welcome", "summary", "tell", "want", "council", "ask", "answer", "revision"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
