--- a/cmd/swiftdeal/fleet.go
+++ b/cmd/swiftdeal/fleet.go
@@ -151,6 +151,9 @@
 			fmt.Fprintln(out, "  nothing may leave service by a plan: budget.nodes and budget.workers are 0")
 		}
 	}
+	if s := f.Settings; s != nil {
+		fmt.Fprintf(out, "settings: laid over this node's own as the council decides; at its start it waits for them for %v at most\n", s.Wait)
+	}
 	if c.Control == "" {
 		fmt.Fprintln(out, "  no control address: the view cannot be looked at")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,12 +105,13 @@
 		}
 	}
 	c, err := f.check()
-	if err == nil {
-		c.keys = map[string]bool{}
-		used(text, reflect.TypeFor[file](), "", c.keys)
-		used(f.Settings, settings.Form, "settings.", c.keys)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	c.keys = map[string]bool{}
+	used(text, reflect.TypeFor[file](), "", c.keys)
+	used(f.Settings, settings.Form, "settings.", c.keys)
+	return c, nil
 }
 
 // NeedsRestart names the keys in which a new configuration differs from this one and that only a restart puts
@@ -220,22 +221,27 @@
 	if len(f.Settings) == 0 {
 		return nil, fmt.Errorf("settings: missing")
 	}
-	if c.Settings, err = settings.Parse(f.Settings); err != nil {
-		return nil, err
+	return c, c.settle(f.Settings, f.Limits)
+}
+
+// settle takes settings, and what the platform lets the node use.
+func (c *Config) settle(told json.RawMessage, p platform) (err error) {
+	if c.Settings, err = settings.Parse(told); err != nil {
+		return err
 	}
 	if len(c.Settings.Balance.Classes) == 0 {
-		return nil, fmt.Errorf("settings.profiles: no class given")
+		return fmt.Errorf("settings.profiles: no class given")
 	}
 	names := map[string]bool{}
 	for i, n := range c.Settings.ClassNames() {
 		if n == "" || names[n] {
-			return nil, fmt.Errorf("settings.profiles[%d].name: %q is missing or named twice", i, n)
+			return fmt.Errorf("settings.profiles[%d].name: %q is missing or named twice", i, n)
 		}
 		names[n] = true
 	}
-	c.platform, c.told = f.Limits, f.Settings
-	c.Limits, err = f.limits(c.Settings)
-	return c, err
+	c.platform, c.told = p, told
+	c.Limits, err = (&file{Limits: p}).limits(c.Settings)
+	return err
 }
 
 // address checks a host and port.
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -31,6 +31,12 @@
 	Forget    time.Duration  // the dead are remembered for so long
 	Facts     bool           // restarts of workers that others tell of are believed
 	Council   *Council       // nil: the fleet has none
+	Settings  *FleetSettings // nil: each node's settings are those of its file
+}
+
+// FleetSettings is what a node is told of settings that the fleet's council decides on. Without it nothing of them is made.
+type FleetSettings struct {
+	Wait time.Duration // a node that starts waits so long to hear of them before it takes clients
 }
 
 // Council is what a node is told of its fleet's council. Without it nothing of it is made.
@@ -65,8 +71,13 @@
 		ForgetS     int64    `toml:"forget_s"`
 		Facts       *bool    `toml:"facts"`
 	} `toml:"view"`
-	Council *councilTable `toml:"council"`
-	Budget  *budgetTable  `toml:"budget"`
+	Council  *councilTable  `toml:"council"`
+	Budget   *budgetTable   `toml:"budget"`
+	Settings *settingsTable `toml:"settings"`
+}
+
+type settingsTable struct {
+	WaitMs *int64 `toml:"wait_ms"`
 }
 
 type councilTable struct {
@@ -138,7 +149,7 @@
 	return strings.Join(key, ".") + ": "
 }
 
-// lineOf finds where a key stands, by its dotted path; 0 if it is not there.
+// lineOf finds where a key or a table stands, by its dotted path; 0 if it is not there.
 func lineOf(text []byte, key string) int {
 	var p unstable.Parser
 	p.Reset(text)
@@ -156,6 +167,9 @@
 		switch e.Kind {
 		case unstable.Table, unstable.ArrayTable:
 			table = strings.Join(parts, ".") + "."
+			if table == key+"." {
+				return line
+			}
 		case unstable.KeyValue:
 			if table+strings.Join(parts, ".") == key {
 				return line
@@ -225,6 +239,28 @@
 	if c.Council, key, err = f.council(); err != nil {
 		return nil, key, err
 	}
+	if c.Settings, key, err = f.settings(); err != nil {
+		return nil, key, err
+	}
+	return c, "", nil
+}
+
+// settings turns the section on the fleet's settings into one; nil where there is none.
+func (f *fleetFile) settings() (c *FleetSettings, key string, err error) {
+	t := f.Settings
+	if t == nil {
+		return nil, "", nil
+	}
+	if f.Council == nil {
+		return nil, "settings", errors.New("needs [council], which decides on them")
+	}
+	c = &FleetSettings{Wait: 2 * time.Second}
+	if t.WaitMs != nil {
+		if *t.WaitMs < 0 || *t.WaitMs > 30_000 {
+			return nil, "settings.wait_ms", fmt.Errorf("%d is out of range, 0 to 30000", *t.WaitMs)
+		}
+		c.Wait = time.Duration(*t.WaitMs) * time.Millisecond
+	}
 	return c, "", nil
 }
 
