The council decides on revisions of the fleet's settings

Need: two changes at once, a lost answer and a council that forgets need one order of revisions; package revision spreads what is decided. Change: a third kind of command in the council's log; calls settings-set and -back with the revision that they take the place of; a body too long for a datagram is fetched from the node that was asked; a leader whose group knows none adopts what nodes hold; nodes say with their question which revision they have in force. Off unless Config.Settings is set: the existing cores' tests pass unchanged, with the same draws.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -8,6 +8,7 @@
 
 	"swiftdeal/internal/fleet/accord"
 	"swiftdeal/internal/fleet/permit"
+	"swiftdeal/internal/fleet/revision"
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/wire"
 )
@@ -23,7 +24,8 @@
 	Period              time.Duration // between two questions to the council
 	Saved               *accord.Saved
 	Disk                bool
-	Keep                int // entries of the log before a snapshot is made
+	Keep                int  // entries of the log before a snapshot is made
+	Settings            bool // the council decides on the fleet's settings too
 }
 
 // Worker is what the node knows of a worker, for the leader's watch.
@@ -42,6 +44,7 @@
 	Workers []Worker       // of a seat alone
 	Room    map[string]int // of a seat alone
 	Quiet   func(worker string) bool
+	Peers   func(n int) []string // draws up to n other members that are there; used where there are settings of the fleet
 }
 
 // Seen is what the view holds of a node.
@@ -62,6 +65,7 @@
 	Begin                // leave service: the exit under permit No is confirmed
 	Return               // come back into service
 	Drains               // Workers are drained from now on, and no others
+	Apply                // put Rev into effect, whole or not at all, and say with Applied what has become of it
 	Say                  // Text to the log
 )
 
@@ -77,6 +81,7 @@
 	Away    bool   // of Begin: clients are to be sent away
 	Workers []string
 	Text    string
+	Rev     *revision.Revision
 }
 
 // ask is what a node says to a seat once a period.
@@ -95,6 +100,7 @@
 	Call    *Call                    `cbor:"12,keyasint,omitempty"`
 	Away    bool                     `cbor:"13,keyasint,omitempty"`
 	Whole   bool                     `cbor:"14,keyasint,omitempty"`
+	Setting *setting                 `cbor:"15,keyasint,omitempty"`
 }
 
 // yours is what the council holds of the node that asks.
@@ -131,13 +137,16 @@
 
 // Call is what an operator asks of the council, at any node.
 type Call struct {
-	Op       string        `cbor:"1,keyasint" json:"op"` // drain, resume, write-off, replace, release-start, -pause, -go, -halt, -back
+	Op       string        `cbor:"1,keyasint" json:"op"` // drain, resume, write-off, replace, release-start, -pause, -go, -halt, -back, settings-set, -back
 	Kind     permit.Kind   `cbor:"2,keyasint,omitempty" json:"kind"`
 	Name     string        `cbor:"3,keyasint,omitempty" json:"name"`
 	By       string        `cbor:"4,keyasint,omitempty" json:"by"`
 	Why      string        `cbor:"5,keyasint,omitempty" json:"why"`
 	Priority int           `cbor:"6,keyasint,omitempty" json:"priority"`
 	Plan     *rollout.Plan `cbor:"7,keyasint,omitempty" json:"plan,omitempty"`
+	Base     *revision.ID  `cbor:"8,keyasint,omitempty" json:"base,omitempty"` // of settings-set and -back: the revision that it takes the place of
+	Body     *Body         `cbor:"9,keyasint,omitempty" json:"-"`              // of settings-set
+	At       int64         `cbor:"10,keyasint,omitempty" json:"at,omitempty"`  // of settings-back: Unix time in ms, for people to read
 }
 
 // Reply is what has become of a Call.
@@ -171,6 +180,7 @@
 	acc  *accord.Core // nil: no seat
 	m    *machine
 	lead leading
+	rev  *revision.Core // nil: the fleet has no settings of its own
 
 	group    accord.Group // the latest heard of, as a node that is out or may go out
 	index    uint64       // of the last answer in the group
@@ -228,6 +238,10 @@
 		}
 	}
 	k.lead.reset()
+	if c.Settings {
+		k.rev = revision.New(revision.Config{Name: c.Name, Period: c.Period}, rnd, now)
+		k.after()
+	}
 	k.plan()
 	return k, nil
 }
@@ -301,6 +315,9 @@
 	if k.acc != nil {
 		k.wake = min(k.wake, k.acc.Wake())
 	}
+	if k.rev != nil {
+		k.wake = min(k.wake, k.rev.Wake())
+	}
 	k.wake = max(k.wake, k.now)
 }
 
@@ -335,15 +352,25 @@
 		k.poll()
 	}
 	k.calling()
+	if k.rev != nil && own.Peers != nil {
+		k.rev.Step(k.now, own.Peers)
+	}
 	k.after()
 	k.plan()
 }
 
-// after takes what the seat has done.
+// after takes what the seat has done, and what the spreading of settings has.
 func (k *Core) after() {
-	if k.acc == nil {
-		return
+	if k.acc != nil {
+		k.agreed()
 	}
+	if k.rev != nil {
+		k.revised()
+	}
+}
+
+// agreed takes what the seat has done.
+func (k *Core) agreed() {
 	for _, a := range k.acc.Out() {
 		if a.Save != nil {
 			k.do(Action{Do: Save, Saved: a.Save})
@@ -379,6 +406,11 @@
 			k.asked(from, &a)
 			k.after()
 		}
+	case wire.Revision:
+		if k.rev != nil {
+			k.rev.Take(now, from, body)
+			k.after()
+		}
 	case wire.Answer:
 		var a answer
 		if wire.Read(body, &a) == nil {
@@ -406,6 +438,9 @@
 func (k *Core) asking() *ask {
 	k.seq++
 	a := &ask{Seq: k.seq, Life: k.c.Life, Inc: k.own.Inc, Group: k.group, State: k.own.State, Site: k.c.Site, Version: k.c.Version, Counts: k.own.Counts, Away: k.own.Away, Whole: k.own.Whole}
+	if k.rev != nil {
+		a.Setting = k.ownSetting()
+	}
 	for _, d := range k.drains {
 		if k.own.Quiet != nil && k.own.Quiet(d.Worker) {
 			a.Quiet = append(a.Quiet, d.No)
--- a/internal/fleet/council/lead.go
+++ b/internal/fleet/council/lead.go
@@ -9,6 +9,7 @@
 
 	"swiftdeal/internal/fleet/accord"
 	"swiftdeal/internal/fleet/permit"
+	"swiftdeal/internal/fleet/revision"
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/wire"
 )
@@ -32,6 +33,9 @@
 	since     time.Duration
 	overdrawn time.Duration // when no budget was last overdrawn
 	gapNoted  bool
+	decided   time.Duration // when the latest revision of the settings was
+	latest    revision.ID   // it
+	spread    bool          // it is in force everywhere, and that was said
 }
 
 // polled is a node's last word.
@@ -137,9 +141,10 @@
 		return
 	}
 	at := k.now.Milliseconds()
-	if c.Permit != nil {
+	switch {
+	case c.Permit != nil:
 		c.Permit.At = at
-	} else {
+	case c.Release != nil:
 		c.Release.At = at
 	}
 	own, err := k.acc.Propose(wire.Word(c))
@@ -262,7 +267,7 @@
 	if !l.leads || l.term != term {
 		l.reset()
 		l.leads, l.term, l.gap, l.since = true, term, k.acc.Leaderless(), k.now
-		l.overdrawn = k.now
+		l.overdrawn, l.decided = k.now, k.now
 	}
 	if k.now-l.watched < k.c.Period/2 {
 		return
@@ -276,6 +281,10 @@
 	k.enlist()
 	k.silence()
 	k.workersBack()
+	if k.rev != nil {
+		k.adopt()
+		k.spread()
+	}
 	seen := k.observe("", nil)
 	if len(k.m.permits.Queue) > 0 {
 		// Only what has changed can let a request through that was refused before.
@@ -444,6 +453,15 @@
 		cmd.Release = &rollout.Command{Op: rollout.Halt, By: by, Why: cmp.Or(c.Why, "by "+by)}
 	case "release-back":
 		cmd.Release = &rollout.Command{Op: rollout.GoBack, By: by}
+	case "settings-set", "settings-back":
+		next, done, text := k.revise(from, c, by)
+		if done != nil {
+			k.lead.last[from] = ended{a.Seq, *done}
+		}
+		if next == nil {
+			return text
+		}
+		cmd.Setting = next
 	default:
 		return fmt.Sprintf("no call %q", c.Op)
 	}
--- a/internal/fleet/council/machine.go
+++ b/internal/fleet/council/machine.go
@@ -10,14 +10,16 @@
 
 	"swiftdeal/internal/fleet/accord"
 	"swiftdeal/internal/fleet/permit"
+	"swiftdeal/internal/fleet/revision"
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/wire"
 )
 
 // command is one entry of the council's log.
 type command struct {
-	Permit  *permit.Command  `cbor:"1,keyasint,omitempty"`
-	Release *rollout.Command `cbor:"2,keyasint,omitempty"`
+	Permit  *permit.Command   `cbor:"1,keyasint,omitempty"`
+	Release *rollout.Command  `cbor:"2,keyasint,omitempty"`
+	Setting *revision.Command `cbor:"3,keyasint,omitempty"`
 }
 
 // Result is what a command has come to.
@@ -25,12 +27,16 @@
 	OK   bool   `cbor:"1,keyasint,omitempty" json:"ok"`
 	No   uint64 `cbor:"2,keyasint,omitempty" json:"no,omitempty"`
 	Text string `cbor:"3,keyasint,omitempty" json:"text"`
+
+	Revision *revision.ID `cbor:"4,keyasint,omitempty" json:"revision,omitempty"` // of a command on settings
 }
 
-// machine is the state that the council keeps: permits and the release together, so that one command changes both.
+// machine is the state that the council keeps: permits and the release together, so that one command changes both, and the
+// revisions of the fleet's settings.
 type machine struct {
 	permits *permit.State
 	release *rollout.State
+	setting revision.State
 	index   uint64
 	begun   []Begun // exits confirmed since it was last asked, for checks
 }
@@ -47,21 +53,24 @@
 func newMachine() *machine { return &machine{permits: permit.New(), release: rollout.New()} }
 
 // Reset implements accord.Machine.
-func (m *machine) Reset() { m.permits, m.release, m.index = permit.New(), rollout.New(), 0 }
+func (m *machine) Reset() {
+	m.permits, m.release, m.setting, m.index = permit.New(), rollout.New(), revision.State{}, 0
+}
 
 // kept is what a snapshot holds.
 type kept struct {
 	Permits *permit.State  `cbor:"1,keyasint"`
 	Release *rollout.State `cbor:"2,keyasint"`
 	Index   uint64         `cbor:"3,keyasint"`
+	Setting revision.State `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot implements accord.Machine.
-func (m *machine) Snapshot() []byte { return wire.Word(kept{m.permits, m.release, m.index}) }
+func (m *machine) Snapshot() []byte { return wire.Word(kept{m.permits, m.release, m.index, m.setting}) }
 
 // Restore implements accord.Machine.
 func (m *machine) Restore(b []byte) error {
-	k := kept{permit.New(), rollout.New(), 0}
+	k := kept{permit.New(), rollout.New(), 0, revision.State{}}
 	if err := wire.Read(b, &k); err != nil {
 		return err
 	}
@@ -74,7 +83,7 @@
 	if k.Permits.Off == nil {
 		k.Permits.Off = map[string]bool{}
 	}
-	m.permits, m.release, m.index = k.Permits, k.Release, k.Index
+	m.permits, m.release, m.setting, m.index = k.Permits, k.Release, k.Setting, k.Index
 	return nil
 }
 
@@ -90,6 +99,8 @@
 		return m.permit(index, c.Permit)
 	case c.Release != nil:
 		return m.rollout(index, c.Release)
+	case c.Setting != nil:
+		return m.revise(index, c.Setting)
 	}
 	return Result{Text: "a command that this version does not know"}
 }
@@ -128,7 +139,7 @@
 	case c.Op == permit.WriteOff && r.OK && c.Of.Kind == permit.Node:
 		m.rollout(index, &rollout.Command{Op: rollout.Gone, At: c.At, Node: c.Of.Name})
 	}
-	return Result{r.OK, r.No, r.Text}
+	return Result{OK: r.OK, No: r.No, Text: r.Text}
 }
 
 // rollout puts a command on the release into effect, and has the permits follow.
--- a/internal/fleet/council/report.go
+++ b/internal/fleet/council/report.go
@@ -48,6 +48,8 @@
 	Steps        []rollout.Step          `json:"steps,omitempty"`
 	Figures      []rollout.Figure        `json:"figures,omitempty"` // of the leader's last look
 	Waits        string                  `json:"waits,omitempty"`   // what the leader waits for
+
+	Settings *SettingsReport `json:"settings,omitempty"` // where the council decides on them
 }
 
 // Knows reports whether this node has a seat in a group, and so holds its state.
@@ -67,6 +69,9 @@
 	for _, d := range k.drains {
 		r.Drains = append(r.Drains, d.Worker)
 	}
+	if k.rev != nil {
+		r.Settings = k.settingsReport()
+	}
 	if !r.Seat {
 		return r
 	}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -373,6 +373,21 @@
 	return p.life, p.inc, p.status, true
 }
 
+// Some draws up to n other members that are there, each once, with numbers of the caller's, so that the view's own draws stay what
+// they are.
+func (k *Core) Some(n int, rnd *rand.Rand) (names []string) {
+	if len(k.list) == 0 {
+		return nil
+	}
+	// A few draws more than wanted, not a walk over all members: most of them are there.
+	for tries := 4 * n; tries > 0 && len(names) < n; tries-- {
+		if p := k.list[rnd.IntN(len(k.list))]; p.there() && !slices.Contains(names, p.rec.Name) {
+			names = append(names, p.rec.Name)
+		}
+	}
+	return names
+}
+
 // Where is a member's address, if it is there.
 func (k *Core) Where(name string) (addr string, ok bool) {
 	if name == k.self.Name {
