--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -66,6 +66,7 @@
 	ControlRead  time.Duration // for a call to come whole
 	ControlWrite time.Duration // for a caller to take its answer
 	ControlBody  int64         // of a call
+	SettingsBody int64         // of a call that brings settings of the fleet
 	CouncilCall  time.Duration // for the council to answer a call before its caller is told to look later
 	CouncilWait  time.Duration // for the council to say which workers are drained before clients are taken
 
@@ -105,7 +106,7 @@
 		ListWait: 3 * time.Second, ListFirst: 4 * time.Second, ListSilence: 3 * time.Second, ListBytes: 1 << 20, ReadyWait: 6 * time.Second,
 		DrainEarly: 700 * time.Millisecond, DrainLast: 50 * time.Millisecond,
 		AwayAfter: 500 * time.Millisecond, AwayIdle: 200 * time.Millisecond, AwayAll: 1500 * time.Millisecond,
-		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second, ControlBody: 64 << 10, CouncilCall: 4 * time.Second, CouncilWait: 2 * time.Second,
+		ControlConns: 16, ControlBytes: 4 << 10, ControlRead: 5 * time.Second, ControlWrite: time.Second, ControlBody: 64 << 10, SettingsBody: 1<<20 + 64<<10, CouncilCall: 4 * time.Second, CouncilWait: 2 * time.Second,
 		SeenBytes: 4 << 10, DetachWait: 20 * time.Millisecond, MoveAgain: 20 * time.Millisecond,
 		HandWait: time.Second, GiveUp: 200 * time.Millisecond, BindWait: 15 * time.Second, EnterWait: 3 * time.Second,
 		ViewEvery: 100 * time.Millisecond, BookEvery: time.Minute,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	standing standing
 	next     *succession // nil: the process cannot be replaced without a gap
 	fleet    *fleet      // nil: the node has no part in one
+	overlay  *overlay    // nil: no settings come of the fleet
 	log      *slog.Logger
 
 	serving                  atomic.Bool // clients' connections are accepted
@@ -90,7 +91,7 @@
 	}
 	n.book.Wanted(c.Settings.Balance.Classes)
 	n.readyBy = time.Now().Add(c.Limits.ReadyWait)
-	n.memory, n.fleet = m.Memory, newFleet(n, m, c, log)
+	n.memory, n.fleet, n.overlay = m.Memory, newFleet(n, m, c, log), newOverlay(c)
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
 	known, list := c.Known, upstream.Events(r)
@@ -155,39 +156,65 @@
 	return nil
 }
 
-// reload puts new configurations into effect, one after the other.
+// reload puts new configurations into effect, one after the other: files read again, and revisions of the fleet's settings.
 func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan Reload) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-reloads:
-			to := r.Config
-			if r.Err != nil {
-				n.log.Error("the configuration is faulty, the old one stays", "error", r.Err)
-				n.reloadsFailed.Add(1)
-				continue
-			}
-			if keys := c.NeedsRestart(to); len(keys) > 0 {
-				n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
-			}
-			now, byName, err := n.retune(to.Settings)
-			if err != nil {
-				n.log.Error("the settings are faulty, the old ones stay", "error", err)
-				n.reloadsFailed.Add(1)
-				continue
-			}
-			n.book.Classes(to.Settings.ClassNames())
-			n.book.Wanted(to.Settings.Balance.Classes)
-			n.admit.Retune(now.Balance.Classes, byName)
-			n.retime(to.Limits)
-			n.log.Info("configuration read again", "discovery", to.Discovery, "classes", len(byName))
-			n.route.Moved(to.Discovery) // also if it is the same: the operator may want it asked anew
-			n.reloadsOK.Add(1)
+			n.reread(c, r)
+		case <-n.overlay.coming():
+			n.revise()
 		}
 	}
 }
 
+// reread puts a file that was read again into effect, with the fleet's settings laid over it: no file undoes them. c is what
+// the process began with.
+func (n *Node) reread(c *config.Config, r Reload) {
+	faulty := func(what string, err error, more ...any) {
+		n.log.Error(what, append([]any{"error", err}, more...)...)
+		n.reloadsFailed.Add(1)
+	}
+	if r.Err != nil {
+		faulty("the configuration is faulty, the old one stays", r.Err)
+		return
+	}
+	to, of, err := n.overlay.laid(r.Config)
+	if err != nil {
+		faulty("the configuration is faulty with the fleet's settings over it, the old one stays", err, "revision", of.String())
+		return
+	}
+	if keys := c.NeedsRestart(to); len(keys) > 0 {
+		n.log.Warn("these keys have changed and take effect with a restart", "keys", keys)
+	}
+	if err := n.put(to); err != nil {
+		faulty("the settings are faulty, the old ones stay", err)
+		return
+	}
+	n.log.Info("configuration read again", "discovery", to.Discovery, "classes", len(to.Settings.Balance.Classes))
+	n.route.Moved(to.Discovery) // also if it is the same: the operator may want it asked anew
+	if again := n.overlay.took(r.Config, to); again != nil {
+		n.follow(again)
+		n.fleet.hear()
+	}
+	n.reloadsOK.Add(1)
+}
+
+// put puts a configuration's settings into effect, whole or not at all.
+func (n *Node) put(to *config.Config) error {
+	now, byName, err := n.retune(to.Settings)
+	if err != nil {
+		return err
+	}
+	n.book.Classes(to.Settings.ClassNames())
+	n.book.Wanted(to.Settings.Balance.Classes)
+	n.admit.Retune(now.Balance.Classes, byName)
+	n.retime(to.Limits)
+	return nil
+}
+
 // retune puts settings into effect.
 func (n *Node) retune(to settings.Settings) (settings.Settings, map[string]int, error) {
 	n.settle.Lock()
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -63,7 +63,7 @@
 
 // takeOver takes the place of the process on the other end of the link: it stops taking clients, tells what it knows,
 // and passes its connections as they become idle. A link that fails means that there is nobody to wait for.
-func (s *succession) takeOver(l handover.Link) {
+func (s *succession) takeOver(ctx context.Context, l handover.Link) {
 	limits := s.n.limits
 	err := l.Send(handover.Message{Kind: handover.Take})
 	var m handover.Message
@@ -72,6 +72,7 @@
 	}
 	if err == nil && m.Kind == handover.Taken && m.Know != nil {
 		s.n.route.Learn(*m.Know)
+		s.n.overlay.inherit(ctx, m.Settings, limits.HandWait)
 	} else if err == nil {
 		err = errors.New("it answered with a message of kind " + string(m.Kind))
 	}
@@ -229,7 +230,7 @@
 	s.n.fleet.yield()
 	s.n.resize(true)
 	know := s.n.route.Yield(true)
-	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know}); err != nil {
+	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know, Settings: s.n.overlay.bequeath()}); err != nil {
 		return err
 	}
 	s.n.log.Info("another process takes clients from now on", "open", s.n.admit.Open(), "connections", s.n.conns.count())
@@ -339,7 +340,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		s.takeOver(prior.Link)
+		s.takeOver(ctx, prior.Link)
 		s.entered.Store(true)
 	}
 	if s.heirs == nil {
