--- a/cmd/swiftdeal/council.go
+++ b/cmd/swiftdeal/council.go
@@ -85,32 +85,40 @@
 
 // call has a node ask the council, and prints what has come of it.
 func (a asked) call(c council.Call) error {
-	body, err := json.Marshal(c)
+	r, err := a.post("/-/fleet/call", c)
 	if err != nil {
 		return err
 	}
+	fmt.Println(r.Text)
+	return nil
+}
+
+// post has a node ask the council by a path of its control address. What is refused is an error too.
+func (a asked) post(path string, call any) (r council.Result, err error) {
+	body, err := json.Marshal(call)
+	if err != nil {
+		return r, err
+	}
 	h := http.Client{Timeout: a.Wait}
-	resp, err := h.Post("http://"+a.Control+"/-/fleet/call", "application/json", bytes.NewReader(body))
+	resp, err := h.Post("http://"+a.Control+path, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return ended{err, 2}
+		return r, ended{err, 2}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 	if err != nil {
-		return ended{err, 2}
+		return r, ended{err, 2}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return ended{errors.New(strings.TrimSpace(string(text))), 2}
+		return r, ended{errors.New(strings.TrimSpace(string(text))), 2}
 	}
-	var r council.Result
 	if err := json.Unmarshal(text, &r); err != nil {
-		return ended{err, 2}
+		return r, ended{err, 2}
 	}
 	if !r.OK {
-		return ended{errors.New(r.Text), 1}
+		return r, ended{errors.New(r.Text), 1}
 	}
-	fmt.Println(r.Text)
-	return nil
+	return r, nil
 }
 
 // report asks a node for what it knows of the council; where it has no seat, one that has.
--- a/cmd/swiftdeal/fleet.go
+++ b/cmd/swiftdeal/fleet.go
@@ -19,13 +19,14 @@
 type fleets struct {
 	View view `cmd:"" help:"Show the node's view of its fleet. Ends with 0 if it is whole, 1 if not, 2 if the node cannot be asked."`
 
-	Drain    drainCmd    `cmd:"" help:"Ask the council for a node or worker to leave service; ends with 1 if that is refused."`
-	Resume   resumeCmd   `cmd:"" help:"Have a node or worker come back, or take a request back."`
-	WriteOff writeOffCmd `cmd:"" help:"Say that a node or worker is gone for good: its permit counts no more."`
-	Status   statusCmd   `cmd:"" help:"Show who is out, why, since when and under which permit, and what requests wait for."`
-	Release  releases    `cmd:"" help:"Bring a version to the fleet step by step."`
-	Duty     dutyCmd     `cmd:"" help:"For whoever runs the process: what may be done with it now."`
-	Replace  replaceCmd  `cmd:"" help:"Have a node take another one's seat in the council."`
+	Drain    drainCmd     `cmd:"" help:"Ask the council for a node or worker to leave service; ends with 1 if that is refused."`
+	Resume   resumeCmd    `cmd:"" help:"Have a node or worker come back, or take a request back."`
+	WriteOff writeOffCmd  `cmd:"" help:"Say that a node or worker is gone for good: its permit counts no more."`
+	Status   statusCmd    `cmd:"" help:"Show who is out, why, since when and under which permit, and what requests wait for."`
+	Release  releases     `cmd:"" help:"Bring a version to the fleet step by step."`
+	Settings settingsCmds `cmd:"" help:"Have one set of settings in force at all nodes."`
+	Duty     dutyCmd      `cmd:"" help:"For whoever runs the process: what may be done with it now."`
+	Replace  replaceCmd   `cmd:"" help:"Have a node take another one's seat in the council."`
 }
 
 // asked is where a running node is asked.
@@ -151,6 +152,9 @@
 			fmt.Fprintln(out, "  nothing may leave service by a plan: budget.nodes and budget.workers are 0")
 		}
 	}
+	if s := f.Settings; s != nil {
+		fmt.Fprintf(out, "settings: laid over this node's own as the council decides; at its start it waits for them for %v at most\n", s.Wait)
+	}
 	if c.Control == "" {
 		fmt.Fprintln(out, "  no control address: the view cannot be looked at")
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,14 +42,14 @@
 	limits config.Limits
 	calls  Calls
 	srv    *http.Server
-	paths  map[string]call
+	paths  map[string][]call // by method
 
 	mu   sync.Mutex
 	open []*caller // the oldest first
 	room chan struct{}
 }
 
-// call is what one path does.
+// call is what one path does by one method.
 type call struct {
 	method string
 	answer func(http.ResponseWriter, *http.Request)
@@ -64,17 +65,18 @@
 // New returns a server that does not listen yet.
 func New(l config.Limits, c Calls, log *slog.Logger) *Server {
 	s := &Server{limits: l, calls: c, room: make(chan struct{}, 1)}
-	s.paths = map[string]call{
-		"/-/ready":   {http.MethodGet, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Ready()) }},
-		"/-/metrics": {http.MethodGet, s.metrics},
-		"/-/drain":   {http.MethodPost, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Drain()) }},
-		"/-/resume":  {http.MethodPost, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Resume()) }},
-		"/-/fleet":   {http.MethodGet, s.fleet},
-
-		"/-/fleet/call":    {http.MethodPost, s.council("call")},
-		"/-/fleet/council": {http.MethodGet, s.council("council")},
-		"/-/fleet/duty":    {http.MethodGet, s.council("duty")},
-		"/-/fleet/did":     {http.MethodPost, s.council("did")},
+	s.paths = map[string][]call{
+		"/-/ready":   {{http.MethodGet, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Ready()) }}},
+		"/-/metrics": {{http.MethodGet, s.metrics}},
+		"/-/drain":   {{http.MethodPost, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Drain()) }}},
+		"/-/resume":  {{http.MethodPost, func(w http.ResponseWriter, _ *http.Request) { word(w, c.Resume()) }}},
+		"/-/fleet":   {{http.MethodGet, s.fleet}},
+
+		"/-/fleet/call":     {{http.MethodPost, s.council("call", l.ControlBody)}},
+		"/-/fleet/council":  {{http.MethodGet, s.council("council", l.ControlBody)}},
+		"/-/fleet/duty":     {{http.MethodGet, s.council("duty", l.ControlBody)}},
+		"/-/fleet/did":      {{http.MethodPost, s.council("did", l.ControlBody)}},
+		"/-/fleet/settings": {{http.MethodGet, s.council("settings", l.ControlBody)}, {http.MethodPost, s.council("settings-call", l.SettingsBody)}},
 	}
 	s.srv = &http.Server{
 		Handler: s, ReadTimeout: l.ControlRead, WriteTimeout: l.ControlRead + l.ControlWrite, MaxHeaderBytes: l.ControlBytes,
@@ -106,16 +108,21 @@
 		s.mu.Unlock()
 	}
 	w.Header().Set("Connection", "close")
-	p, ok := s.paths[r.URL.Path]
-	switch {
-	case !ok:
+	p := s.paths[r.URL.Path]
+	if len(p) == 0 {
 		http.Error(w, "no such call", http.StatusNotFound)
-	case p.method != r.Method:
-		w.Header().Set("Allow", p.method)
-		http.Error(w, "this call comes by "+p.method, http.StatusMethodNotAllowed)
-	default:
-		p.answer(w, r)
+		return
+	}
+	var methods []string
+	for _, c := range p {
+		if c.method == r.Method {
+			c.answer(w, r)
+			return
+		}
+		methods = append(methods, c.method)
 	}
+	w.Header().Set("Allow", strings.Join(methods, ", "))
+	http.Error(w, "this call comes by "+strings.Join(methods, " or "), http.StatusMethodNotAllowed)
 }
 
 // word answers yes or no.
@@ -137,10 +144,10 @@
 	show(w, http.StatusOK, v)
 }
 
-// council answers a call on the fleet's council.
-func (s *Server) council(path string) func(http.ResponseWriter, *http.Request) {
+// council answers a call on the fleet's council, whose body may be so long.
+func (s *Server) council(path string, most int64) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.ControlBody))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 			return
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -169,3 +169,19 @@
 		}
 	})
 }
+
+// One path has two methods, and a body of settings may be longer than that of another call, but not without end.
+func TestSettingsCalls(t *testing.T) {
+	addr := open(t, &toy{}, config.Limits{ControlConns: 4, ControlBytes: 4096, ControlRead: time.Minute, ControlWrite: time.Minute, ControlBody: 4, SettingsBody: 8})
+	for _, c := range []struct{ call, status, body string }{
+		{"GET /-/fleet/settings HTTP/1.1\r\nHost: x\r\n\r\n", "200", `["settings","",""]`},
+		{"POST /-/fleet/settings HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n12345678", "200", `["settings-call","","12345678"]`},
+		{"POST /-/fleet/settings HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n123456789", "413", "too large"},
+		{"PUT /-/fleet/settings HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", "405", "GET or POST"},
+	} {
+		resp, body := ask(t, addr, c.call)
+		if resp == nil || !strings.HasPrefix(resp.Status, c.status) || !strings.Contains(body, c.body) {
+			t.Errorf("%q: %v %q", c.call, resp, body)
+		}
+	}
+}
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -16,6 +16,7 @@
 	"swiftdeal/internal/fleet/council"
 	"swiftdeal/internal/fleet/gossip"
 	"swiftdeal/internal/fleet/member"
+	"swiftdeal/internal/fleet/revision"
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/wire"
 )
@@ -29,12 +30,24 @@
 	Resume()           // come back into it
 	Told(told bool)    // whether the council has said what concerns this node
 
+	// Apply has a revision of the fleet's settings put into effect, whole or not at all; Applied is what has become of those since
+	// it was last asked, and Settled says that the node knows what the fleet's settings are. They are used where there are any.
+	Apply(r *revision.Revision)
+	Applied() []Applied
+	Settled()
+
 	// Counts is what clients have been answered, by class.
 	Counts() map[string]rollout.Count
 	// Known is what the Balancer knows of workers, and its room by class; it is asked of a seat alone. nil: nothing yet.
 	Known() (workers map[string]balance.Known, room map[string]int)
 }
 
+// Applied is what has become of a revision of the fleet's settings at a node.
+type Applied struct {
+	ID  revision.ID
+	Why string // it is not in force; empty: it is
+}
+
 // Config is what a Seat is made with.
 type Config struct {
 	Fleet    *config.Fleet // it has a council
@@ -59,6 +72,9 @@
 	own     council.Own
 	waiting map[uint64]chan<- council.Result
 	begun   bool // whoever runs the process has begun to restart it
+
+	peers   func(n int) []string // draws members; nil until it is needed
+	settled bool                 // the host has been told so
 }
 
 // New makes the node's part in the council as it enters the fleet.
@@ -74,7 +90,7 @@
 	}
 	var err error
 	s.core, err = council.New(council.Config{Name: c.Name, Site: c.Fleet.Site, Version: c.Program, Life: c.Life, ID: c.Random() | 1, Seats: t.Seats, Spares: t.Spares, Absent: t.Absent,
-		Budgets: t.Budgets, Period: c.Fleet.Period, Saved: saved, Disk: s.store != nil}, rand.New(rand.NewPCG(c.Random(), c.Random())), now)
+		Budgets: t.Budgets, Period: c.Fleet.Period, Saved: saved, Disk: s.store != nil, Settings: c.Fleet.Settings != nil}, rand.New(rand.NewPCG(c.Random(), c.Random())), now)
 	if err != nil {
 		s.Close()
 		return nil, err
@@ -99,6 +115,16 @@
 	}
 	s.own.Inc, s.own.State = view.Self().Inc, s.host.State()
 	s.own.Away = s.host.SentAway()
+	if s.core.Revision() != nil {
+		if s.peers == nil {
+			rnd := rand.New(rand.NewPCG(s.c.Random(), s.c.Random()))
+			s.peers = func(n int) []string { return view.Some(n, rnd) }
+		}
+		s.own.Peers = s.peers
+		for _, a := range s.host.Applied() {
+			s.core.Applied(now, a.ID, a.Why)
+		}
+	}
 	s.core.Step(now, s.own)
 	return s.flush()
 }
@@ -164,6 +190,8 @@
 		case council.Drains:
 			s.log.Info("drained workers", "workers", a.Workers)
 			s.c.Drainer.set(a.Workers)
+		case council.Apply:
+			s.host.Apply(a.Rev)
 		case council.Say:
 			s.log.Info("council", "says", a.Text)
 		}
@@ -178,14 +206,37 @@
 		}
 	}
 	s.host.Told(s.core.Told())
+	if r := s.core.Revision(); r != nil && !s.settled && settled(r) {
+		s.settled = true
+		s.host.Settled()
+	}
 	return out
 }
 
+// settled reports whether the node knows what the fleet's settings are: what it holds is in force, or cannot be, or others hold
+// none either.
+func settled(r *revision.Core) bool {
+	if h := r.Held(); h != nil {
+		refused, _ := r.Refused()
+		return r.InForce() == h.ID || refused == h.ID
+	}
+	fetches, _, _ := r.Sizes()
+	return r.Heard() && fetches == 0
+}
+
 // Call asks something of the council. What has become of it comes on reply, which has room for it.
 func (s *Seat) Call(now time.Duration, c council.Call, reply chan<- council.Result) {
 	s.waiting[s.core.Call(now, c)] = reply
 }
 
+// SetSettings has settings, packed, decided on in the place of the revision base.
+func (s *Seat) SetSettings(now time.Duration, body []byte, base revision.ID, by, why string, reply chan<- council.Result) {
+	s.waiting[s.core.SetSettings(now, body, base, by, why)] = reply
+}
+
+// Revision is the node's part in spreading the fleet's settings; nil where there are none.
+func (s *Seat) Revision() *revision.Core { return s.core.Revision() }
+
 // Report is what this node knows of the council.
 func (s *Seat) Report(now time.Duration) *council.Report { return s.core.Report(now) }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -40,6 +40,8 @@
 	Group   *config.Group      `json:",omitempty"`
 	Know    *balance.Knowledge `json:",omitempty"`
 	Work    *Work              `json:",omitempty"`
+
+	Settings []byte `json:",omitempty"` // of Taken: the revision of the fleet's settings that is in force
 }
 
 // Work is an open request as it goes to another process.
--- a/internal/node/council.go
+++ b/internal/node/council.go
@@ -77,13 +77,35 @@
 	return l.know, room
 }
 
-// held reports whether clients are to wait until the node has heard which workers are drained. That is bounded: a council that
+// held reports whether clients are to wait until the node has heard which workers are drained, and what the fleet's settings
+// are. That is bounded: a council that
 // cannot answer keeps no node from its service.
 func (f *fleet) held() bool {
-	if f == nil || f.c.Fleet.Council == nil || time.Since(f.entered) > f.n.limits.CouncilWait {
+	if f == nil || f.c.Fleet.Council == nil {
 		return false
 	}
-	return !f.told.Load()
+	return !f.told.Load() && time.Since(f.entered) <= f.n.limits.CouncilWait || f.n.overlay.held()
+}
+
+// with has something done with the node's part in the council, and reports whether it was: not where that has not begun.
+func (f *fleet) with(do func(now time.Duration, s *seat.Seat)) (done bool) {
+	f.now().Do(func(now time.Duration, p gossip.Part) {
+		do(now, p.(*seat.Seat))
+		done = true
+	})
+	return done
+}
+
+// answer waits for what has become of a call on the council, as long as the limits let it.
+func (f *fleet) answer(reply <-chan council.Result) (int, any) {
+	timer := time.NewTimer(f.n.limits.CouncilCall)
+	defer timer.Stop()
+	select {
+	case r := <-reply:
+		return http.StatusOK, r
+	case <-timer.C:
+		return http.StatusGatewayTimeout, "no answer of the council yet; the call goes on: look at its status"
+	}
 }
 
 // CouncilCall implements control.Calls.
@@ -94,28 +116,20 @@
 	}
 	var status = http.StatusServiceUnavailable
 	var answer any = "the node's part in the fleet has not begun, or is busy"
-	with := func(do func(now time.Duration, s *seat.Seat)) {
-		f.now().Do(func(now time.Duration, p gossip.Part) { do(now, p.(*seat.Seat)) })
-	}
+	with := f.with
 	switch path {
+	case "settings", "settings-call":
+		return f.settingsCall(path, body)
 	case "call":
 		var c council.Call
 		if err := json.Unmarshal(body, &c); err != nil {
 			return http.StatusBadRequest, err.Error()
 		}
 		reply := make(chan council.Result, 1)
-		with(func(now time.Duration, s *seat.Seat) { s.Call(now, c, reply); answer = nil })
-		if answer != nil {
+		if !with(func(now time.Duration, s *seat.Seat) { s.Call(now, c, reply) }) {
 			return status, answer
 		}
-		timer := time.NewTimer(n.limits.CouncilCall)
-		defer timer.Stop()
-		select {
-		case r := <-reply:
-			return http.StatusOK, r
-		case <-timer.C:
-			return http.StatusGatewayTimeout, "no answer of the council yet; the call goes on: look at its status"
-		}
+		return f.answer(reply)
 	case "council":
 		with(func(now time.Duration, s *seat.Seat) { status, answer = http.StatusOK, s.Report(now) })
 	case "duty":
@@ -142,7 +156,12 @@
 
 // councilFigures returns the council's figures; none without one.
 func (f *fleet) councilFigures() (list []control.Family) {
-	f.now().Do(func(now time.Duration, p gossip.Part) { list = figures(p.(*seat.Seat).Report(now)) })
+	f.with(func(now time.Duration, s *seat.Seat) {
+		r := s.Report(now)
+		if list = figures(r); s.Revision() != nil {
+			list = append(list, settingsFigures(r.Settings, s.Revision())...)
+		}
+	})
 	return list
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -31,6 +31,7 @@
 	long  chan string   // and one whose id begins with long
 
 	config  *config.Config
+	text    string // the file it is of
 	reloads chan Reload
 }
 
@@ -39,6 +40,25 @@
 }
 
 func startOn(t *testing.T, m machine.Machine, change func(*config.Limits), dir ...string) *world {
+	return startWith(t, m, func(text string) string { return text }, func(c *config.Config) {
+		if change != nil {
+			change(&c.Limits)
+		}
+	}, dir...)
+}
+
+// load reads a configuration.
+func load(t *testing.T, text string) *config.Config {
+	t.Helper()
+	c, err := config.Load(func(k string) string { return map[string]string{"GW_CONFIG": "x"}[k] }, func(string) ([]byte, error) { return []byte(text), nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// startWith starts a node whose file and configuration are changed first.
+func startWith(t *testing.T, m machine.Machine, edit func(text string) string, change func(*config.Config), dir ...string) *world {
 	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), long: make(chan string, 9), reloads: make(chan Reload)}
 	peer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/status/load" {
@@ -78,16 +98,12 @@
 		`"familyInfo":{"reportX0":"free slots","reportX1":"free memory","tellsStart":true},"limits":{"cancelling":true,"probing":true,"maxAttempts":4,"dialTimeoutMs":60000},`+
 		`"loadReport":{"fields":["x0","x1"],"how":"pull"},"profiles":[{"name":"job","aimMs":3600000,"deadlineMs":3600000,"effect":"retryable","worth":1},`+
 		`{"name":"book","aimMs":3600000,"deadlineMs":3600000,"effect":"dedup","dedupScope":"all","repeatWindowMs":1000,"worth":1}]}}`, ln.Addr(), disco.Listener.Addr())
-	c, err := config.Load(func(k string) string { return map[string]string{"GW_CONFIG": "x"}[k] }, func(string) ([]byte, error) { return []byte(text), nil })
-	if err != nil {
-		t.Fatal(err)
-	}
+	text = edit(text)
+	c := load(t, text)
 	c.Limits.DrainEarly, c.Limits.DrainAccept, c.Limits.DrainIdle = 0, time.Millisecond, time.Millisecond
 	c.Limits.DrainLate = time.Hour
-	if change != nil {
-		change(&c.Limits)
-	}
-	w.config = c
+	change(c)
+	w.config, w.text = c, text
 	ctx, stop := context.WithCancel(t.Context())
 	w.addr, w.stop = ln.Addr().String(), stop
 	calls, err := net.Listen("tcp", "127.0.0.1:0")
