Revisions: fetches end, windows are asked for once, a new group hears all first

The next window is asked for once all of the one before has come. - With eight sources that had gone no other was taken; a retry could turn to the same source; bodies for the council could take all places of fetches and leave none for the revision. - A damaged body cost the last giver its place, not the one at fault; parts came in from anybody. - A node that started in a fleet where all hold the same heard nobody until somebody happened to tell it: it asks for an answer. - A late refusal of an earlier revision stood beside a later one in force. - A new group's leader heeded its own node's view of what is held after four periods.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -26,6 +26,7 @@
 	Disk                bool
 	Keep                int  // entries of the log before a snapshot is made
 	Settings            bool // the council decides on the fleet's settings too
+	Unknowing           bool // for checks: the seat's program is an older one, which does not know commands on settings
 }
 
 // Worker is what the node knows of a worker, for the leader's watch.
@@ -227,6 +228,7 @@
 	}
 	k := &Core{c: c, rnd: rnd, now: now, m: newMachine(), seats: slices.Concat(c.Seats, c.Spares), sent: map[uint64]time.Duration{}, heard: now, nextAsk: now}
 	k.c.Budgets.Seats = slices.Sorted(slices.Values(c.Seats))
+	k.m.older = c.Unknowing
 	k.turn = rnd.IntN(len(k.seats) + 1)
 	k.seq = rnd.Uint64() >> 1
 	if slices.Contains(k.seats, c.Name) {
@@ -352,7 +354,10 @@
 		k.poll()
 	}
 	k.calling()
-	if k.rev != nil && own.Peers != nil {
+	if k.rev != nil {
+		if own.Peers == nil { // a host that draws none; else the news would wait for ever, and Step be called without end
+			own.Peers = func(int) []string { return nil }
+		}
 		k.rev.Step(k.now, own.Peers)
 	}
 	k.after()
--- a/internal/fleet/council/machine.go
+++ b/internal/fleet/council/machine.go
@@ -37,6 +37,7 @@
 	permits *permit.State
 	release *rollout.State
 	setting revision.State
+	older   bool // for checks: commands on settings are not known, and no snapshot has them
 	index   uint64
 	begun   []Begun // exits confirmed since it was last asked, for checks
 }
@@ -83,6 +84,9 @@
 	if k.Permits.Off == nil {
 		k.Permits.Off = map[string]bool{}
 	}
+	if m.older {
+		k.Setting = revision.State{}
+	}
 	m.permits, m.release, m.setting, m.index = k.Permits, k.Release, k.Setting, k.Index
 	return nil
 }
@@ -99,7 +103,7 @@
 		return m.permit(index, c.Permit)
 	case c.Release != nil:
 		return m.rollout(index, c.Release)
-	case c.Setting != nil:
+	case c.Setting != nil && !m.older:
 		return m.revise(index, c.Setting)
 	}
 	return Result{Text: "a command that this version does not know"}
--- a/internal/fleet/council/settings.go
+++ b/internal/fleet/council/settings.go
@@ -56,6 +56,7 @@
 const (
 	mostBehind = 64
 	mostWhy    = 200 // bytes of a reason in a datagram
+	settleFor  = 15  // periods for which a leader without settings waits for what nodes hold, at most
 )
 
 // Revision is the node's part in spreading the fleet's settings; nil where there are none.
@@ -74,6 +75,11 @@
 
 // SetSettings has a body, as revision.Pack words it, decided on in the place of the revision base. Its end comes with Replies.
 func (k *Core) SetSettings(now time.Duration, body []byte, base revision.ID, by, why string) (ticket uint64) {
+	if k.rev == nil {
+		k.ticket++
+		k.replies = append(k.replies, Reply{k.ticket, Result{Text: "this node's fleet file has no [settings]"}})
+		return k.ticket
+	}
 	sum := k.rev.Stage(now, body)
 	return k.Call(now, Call{Op: "settings-set", Base: &base, By: clip(by), Why: clip(why), Body: &Body{sum[:], len(body)}})
 }
@@ -134,12 +140,38 @@
 
 // settling reports whether the leader does not know yet what nodes may hold of an earlier group's revisions.
 func (k *Core) settling() bool {
-	return k.lacks() != nil || k.m.setting.Current == nil && k.now-k.lead.since < freshFor*k.c.Period
+	return k.lacks() != nil || k.m.setting.Current == nil && !k.heardAll()
+}
+
+// heardAll reports whether all that the view holds for there have said what they hold, and this node has the latest of it. A leader
+// that waits for one that does not speak, or cannot hand over what it holds, waits no longer than settleFor.
+func (k *Core) heardAll() bool {
+	switch span := k.now - k.lead.since; {
+	case span < freshFor*k.c.Period:
+		return false
+	case span >= settleFor*k.c.Period:
+		return true
+	}
+	for name, s := range k.lead.seen {
+		if s.Status > wire.Suspect || name == k.c.Name {
+			continue
+		}
+		p := k.lead.polls[name]
+		if p == nil || p.ask.Setting != nil && p.ask.Setting.Held.Compare(idOf(k.rev.Held())) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // adopt has the council keep what was decided on by an earlier group. It waits for as long as it takes to hear of a later one.
 func (k *Core) adopt() {
-	if r := k.lacks(); r != nil && k.now-k.lead.since >= freshFor*k.c.Period {
+	r := k.lacks()
+	if r == nil {
+		return
+	}
+	k.acc.Heard(r.ID.Group) // guards against a group that numbers its own revisions before those that it adopts
+	if k.m.setting.Current != nil || k.heardAll() {
 		k.propose("adopt "+r.ID.String(), "", nil, &command{Setting: &revision.Command{Op: revision.Adopt, Next: r}})
 	}
 }
@@ -159,6 +191,10 @@
 	s := &k.m.setting
 	now := s.Current.Head()
 	own, _ := k.acc.Group()
+	if own.Compare(now.ID.Group) < 0 {
+		k.acc.Heard(now.ID.Group)
+		return nil, nil, "" // its own would not come after what it has adopted: the node asks again once it goes by a later number
+	}
 	next = &revision.Command{Op: revision.Set, Base: *c.Base, Next: &revision.Revision{ID: revision.ID{Group: own, No: now.ID.No + 1}}}
 	again := *c.Base != now.ID && s.Current != nil && *c.Base == s.Prior.Head().ID // it may be what this call has come to
 	ok := &Result{OK: true, No: now.ID.No, Text: fmt.Sprintf("revision %v is decided on", now.ID), Revision: &now.ID}
--- a/internal/fleet/revision/core.go
+++ b/internal/fleet/revision/core.go
@@ -50,6 +50,7 @@
 	Parts []uint32 `cbor:"5,keyasint,omitempty"` // of get: which
 	Part  uint32   `cbor:"6,keyasint,omitempty"`
 	Body  []byte   `cbor:"7,keyasint,omitempty"`
+	Fresh bool     `cbor:"8,keyasint,omitempty"` // of tell: the sender has heard nobody yet, and wants an answer in any case
 }
 
 // Bounds and paces.
@@ -60,6 +61,7 @@
 	mostFetches = 4   // of bodies at once
 	mostStaged  = 4   // bodies that wait for the council's word
 	stagedFor   = 40  // periods
+	stuckFor    = 10  // periods without a part after which a fetch is given up
 	mostServed  = 128 // parts sent in a period, to all
 	freshTells  = 4   // members told at once of a revision that is new here
 	hotRounds   = 5   // further rounds of telling after that, a fifth of a period apart
@@ -74,9 +76,11 @@
 	have    []bool
 	left    int
 	sources []string
+	givers  []string // whose parts are in buf
 	turn    int
+	upto    int           // the last part asked for
 	next    time.Duration // when who was asked last is given up
-	until   time.Duration // of a body alone
+	until   time.Duration // when it is given up, unless a part comes
 }
 
 // staged is a body that has no ID yet.
@@ -179,7 +183,7 @@
 	k.now = max(k.now, now)
 	switch {
 	case why != "":
-		if id.Compare(k.refused) >= 0 {
+		if id.Compare(k.refused) >= 0 && id.Compare(k.force) > 0 { // guards against a late word on an earlier one
 			k.refused, k.why = id, why
 		}
 	case id.Compare(k.force) > 0: // guards against a late word on an earlier one
@@ -232,7 +236,9 @@
 		k.refill, k.served = k.now+k.c.Period, 0
 	}
 	k.staged = slices.DeleteFunc(k.staged, func(s staged) bool { return k.now >= s.until })
-	k.fetches = slices.DeleteFunc(k.fetches, func(f *fetch) bool { return !f.held && k.now >= f.until })
+	// Guards against a revision that went with the only node that had it: it would keep this one from any earlier one, which may be
+	// all that a later group of the council knows. Whoever has it tells again.
+	k.fetches = slices.DeleteFunc(k.fetches, func(f *fetch) bool { return k.now >= f.until })
 	for _, f := range k.fetches {
 		if k.now >= f.next {
 			k.ask(f, true)
@@ -252,7 +258,7 @@
 			k.nextSay = k.now + time.Duration(float64(k.c.Period)*(0.9+0.2*k.rnd.Float64()))
 		}
 		for _, to := range peers(n) {
-			k.tell(to)
+			k.tell(to, !k.heard)
 		}
 	}
 	k.plan()
@@ -275,9 +281,9 @@
 }
 
 // tell says to a member what is held here.
-func (k *Core) tell(to string) {
+func (k *Core) tell(to string, fresh bool) {
 	k.counts.Tells++
-	m := message{Op: tell, ID: k.head.ID, Size: uint32(k.head.Size)}
+	m := message{Op: tell, ID: k.head.ID, Size: uint32(k.head.Size), Fresh: fresh}
 	if k.held != nil {
 		m.Sum = k.head.Sum[:]
 	}
@@ -295,7 +301,7 @@
 	copy(sum[:], m.Sum)
 	switch m.Op {
 	case tell:
-		k.told(from, Head{m.ID, sum, int(m.Size)})
+		k.told(from, Head{m.ID, sum, int(m.Size)}, m.Fresh)
 	case get:
 		k.serve(from, sum, m.Parts)
 	case part:
@@ -305,11 +311,11 @@
 }
 
 // told takes what another member holds.
-func (k *Core) told(from string, h Head) {
+func (k *Core) told(from string, h Head, fresh bool) {
 	k.heard = true
 	switch c := h.ID.Compare(k.head.ID); {
-	case c < 0:
-		k.tell(from) // it lags
+	case c < 0 || c == 0 && fresh:
+		k.tell(from, false) // it lags, or cannot know that it does not
 	case c == 0 && h.Sum != k.head.Sum:
 		k.counts.Conflicts++
 		k.acts = append(k.acts, Action{Do: Say, Text: fmt.Sprintf("%s holds another revision %v than this node", from, h.ID)})
@@ -322,7 +328,10 @@
 func (k *Core) want(h Head, held bool, from string) {
 	for _, f := range k.fetches {
 		if f.head == h && f.held == held {
-			if !slices.Contains(f.sources, from) && len(f.sources) < mostSources {
+			if !slices.Contains(f.sources, from) {
+				if len(f.sources) >= mostSources { // the first ones may have gone
+					f.sources = f.sources[1:]
+				}
 				f.sources = append(f.sources, from)
 			}
 			return
@@ -336,25 +345,36 @@
 		}
 		k.fetches = slices.DeleteFunc(k.fetches, func(f *fetch) bool { return f.held })
 	}
-	if len(k.fetches) >= mostFetches {
+	// Bodies alone leave room for the revision, of which there is one at most.
+	if !held && len(k.fetches)-k.heldFetches() >= mostFetches-1 {
 		return
 	}
 	n := (h.Size + partBytes - 1) / partBytes
-	f := &fetch{head: h, held: held, buf: make([]byte, h.Size), have: make([]bool, n), left: n, sources: []string{from}, until: k.now + stagedFor*k.c.Period}
+	f := &fetch{head: h, held: held, buf: make([]byte, h.Size), have: make([]bool, n), left: n, sources: []string{from}, until: k.now + stuckFor*k.c.Period}
 	k.fetches = append(k.fetches, f)
 	k.ask(f, false)
 }
 
+func (k *Core) heldFetches() (n int) {
+	for _, f := range k.fetches {
+		if f.held {
+			n++
+		}
+	}
+	return n
+}
+
 // ask asks one of those who have a body for parts that are lacking; another one than last time where that one has not answered.
 func (k *Core) ask(f *fetch, another bool) {
-	if another {
-		f.turn = k.rnd.IntN(len(f.sources))
+	if n := len(f.sources); another && n > 1 {
+		f.turn = (f.turn%n + 1 + k.rnd.IntN(n-1)) % n
 	}
 	k.counts.Gets++
 	var list []uint32
 	for i, have := range f.have {
 		if !have && len(list) < window {
 			list = append(list, uint32(i))
+			f.upto = i
 		}
 	}
 	f.next = k.now + k.c.Period/4
@@ -383,7 +403,7 @@
 
 // took takes a part of a body.
 func (k *Core) took(from string, sum Sum, i int, b []byte) {
-	n := slices.IndexFunc(k.fetches, func(f *fetch) bool { return f.head.Sum == sum })
+	n := slices.IndexFunc(k.fetches, func(f *fetch) bool { return f.head.Sum == sum && slices.Contains(f.sources, from) })
 	if n < 0 {
 		return
 	}
@@ -393,20 +413,28 @@
 	}
 	k.counts.Parts++
 	copy(f.buf[i*partBytes:], b)
+	if !slices.Contains(f.givers, from) {
+		f.givers = append(f.givers, from)
+	}
 	f.have[i] = true
 	f.left--
+	f.until = k.now + stuckFor*k.c.Period
 	if f.left > 0 {
-		if asked := f.firstAsked(i); asked { // all of the window has come
+		if slices.Index(f.have, false) > f.upto { // all that was asked for has come
 			k.ask(f, false)
 		}
 		return
 	}
 	if SumOf(f.buf) != sum {
-		// Guards against a member whose memory or program is faulty: it is asked no more for this body.
+		// Guards against a member whose memory or program is faulty: it is asked no more for this body. Where parts are of several
+		// members nobody knows whose is wrong: it is fetched anew, from one as long as that one answers.
 		k.counts.Damaged++
 		clear(f.have)
 		f.left = len(f.have)
-		f.sources = slices.DeleteFunc(f.sources, func(s string) bool { return s == from })
+		if len(f.givers) == 1 {
+			f.sources = slices.DeleteFunc(f.sources, func(s string) bool { return s == from })
+		}
+		f.givers = nil
 		if len(f.sources) == 0 {
 			k.fetches = slices.Delete(k.fetches, n, n+1)
 			return
@@ -423,12 +451,6 @@
 	k.Stage(k.now, f.buf)
 }
 
-// firstAsked reports whether nothing before a part that has come is lacking any more, so that the next ones may be asked for.
-func (f *fetch) firstAsked(i int) bool {
-	lacks := slices.Index(f.have, false)
-	return lacks > i || lacks < 0
-}
-
 // hold takes a whole revision, if it is later than the one held.
 func (k *Core) hold(r *Revision) {
 	if r.ID.Compare(k.head.ID) <= 0 {
