--- a/internal/sim/views/council.go
+++ b/internal/sim/views/council.go
@@ -31,6 +31,8 @@
 	counts  map[string]rollout.Count
 	born    time.Duration
 	drained []string
+	pick    *rand.Rand // whom to tell of revisions
+	marks   marks
 }
 
 // field is the truth.
@@ -57,6 +59,7 @@
 	tended   time.Duration
 	history  []operation
 	opened   map[string]int // by node: the operation that is not over
+	changes  *changes       // of the settings; nil without them
 }
 
 // operation is one that a history of exits has: most above 0 begins one where fewer are out, 0 ends one.
@@ -93,8 +96,12 @@
 const oldVersion = "0"
 
 func newField(w *World) *field {
-	return &field{w: w, exits: map[string]bool{}, versions: map[string]string{}, disks: map[string]*accord.Saved{}, off: map[string]bool{}, calls: map[uint64]string{},
+	f := &field{w: w, exits: map[string]bool{}, versions: map[string]string{}, disks: map[string]*accord.Saved{}, off: map[string]bool{}, calls: map[uint64]string{},
 		opened: map[string]int{}, worse: map[string]bool{}, wrong: map[string]bool{}, asked: map[string]time.Duration{}}
+	if w.plan.Settings {
+		f.changes = newChanges(f)
+	}
+	return f
 }
 
 func (f *field) budgets() permit.Budgets {
@@ -121,6 +128,9 @@
 	if f.w.plan.Disk {
 		c.Disk, c.Saved = true, f.disks[p.name]
 	}
+	if f.changes != nil {
+		f.changes.enter(p, s, &c)
+	}
 	core, err := council.New(c, s.r, f.w.now-p.base)
 	if err != nil {
 		f.w.fault("%s: %v", p.name, err)
@@ -230,6 +240,9 @@
 func (f *field) own(p *proc) council.Own {
 	s := p.seat
 	o := council.Own{State: wire.Serving, Inc: p.core.Self().Inc, Away: s.away, Whole: !s.restart, Counts: s.counts, Quiet: func(worker string) bool { return slices.Contains(s.drained, worker) }}
+	if s.pick != nil {
+		o.Peers = func(n int) []string { return p.core.Some(n, s.pick) }
+	}
 	if s.away || p.left {
 		o.State = wire.Draining
 	}
@@ -325,6 +338,9 @@
 // after takes what a process's part has done, and says when it wants to be called.
 func (f *field) after(p *proc) time.Duration {
 	s, w := p.seat, f.w
+	if f.changes != nil {
+		f.changes.look(p)
+	}
 	for _, a := range s.core.Out() {
 		switch a.Do {
 		case council.Send:
@@ -341,6 +357,8 @@
 			w.note("%s comes back", p.name)
 		case council.Drains:
 			s.drained = a.Workers
+		case council.Apply:
+			f.changes.apply(p, a.Rev)
 		case council.Say:
 			w.note("%s#%d council: %s", p.name, p.serial, a.Text)
 		}
@@ -348,6 +366,9 @@
 	for _, r := range s.core.Replies() {
 		f.replies = append(f.replies, fmt.Sprintf("%v %s", r.OK, r.Text))
 		w.note("%s hears: %v %s", p.name, r.OK, r.Text)
+		if f.changes != nil {
+			f.changes.replied(p, r)
+		}
 	}
 	for _, b := range s.core.Begun() {
 		w.note("%s has confirmed %v (%d out of %d, group %v)", p.name, b.Of, b.Out, b.Most, b.Group)
@@ -605,7 +626,14 @@
 		if slices.ContainsFunc(c.Accord().Voters(), func(v accord.Voter) bool { return v.Seat == p.name }) {
 			g, _ := c.Accord().Group()
 			ps, rs := c.State()
-			state[p.name] = fmt.Sprintf("%v %x %x", g, wire.Word(ps), wire.Word(rs))
+			if f.changes != nil && f.changes.mixed { // older seats note no changes of settings
+				as := *ps
+				as.History = nil
+				ps = &as
+			} else if f.changes != nil {
+				state[p.name] = fmt.Sprintf("%x", wire.Word(c.Settings()))
+			}
+			state[p.name] += fmt.Sprintf("%v %x %x", g, wire.Word(ps), wire.Word(rs))
 		}
 	}
 	if leads == 0 && f.hopeless() {
@@ -653,6 +681,9 @@
 			return q.Subject.String() + " waits though nobody is out: " + q.Waiting
 		}
 	}
+	if f.changes != nil {
+		return f.changes.unsettled()
+	}
 	return ""
 }
 
--- a/internal/sim/views/plan.go
+++ b/internal/sim/views/plan.go
@@ -33,6 +33,10 @@
 	Budget  int  `json:"budget,omitempty"`  // nodes out at once
 	Site    int  `json:"site,omitempty"`    // nodes out at once of each site
 	Disk    bool `json:"disk,omitempty"`    // seats keep what they have promised
+
+	Settings bool  `json:"settings,omitempty"` // the council decides on settings of the fleet
+	Older    []int `json:"older,omitempty"`    // members whose program knows nothing of settings
+	Refuses  []int `json:"refuses,omitempty"`  // members that cannot put some revisions into effect
 }
 
 // Fault is something that goes wrong.
@@ -46,38 +50,48 @@
 
 // kinds of fault, with what they do.
 var kinds = map[string]string{
-	"kill":      "the process is killed; it starts again after for, if that is above 0",
-	"leave":     "the process says that it leaves, and ends; it starts again after for, if that is above 0",
-	"stop":      "the process stands still for a while",
-	"slow":      "the process stands still and goes on in turn",
-	"split":     "the members fall apart into amount parts that do not reach one another",
-	"alone":     "one member reaches nobody",
-	"half":      "one member does not reach every second of the others",
-	"deaf-to":   "one member hears the next one no more, and is heard by it",
-	"flap":      "one member is cut off and reached again every two periods",
-	"loss":      "this share of all datagrams is lost",
-	"jitter":    "datagrams take up to amount periods longer, and overtake one another",
-	"damage":    "this share of all datagrams is damaged",
-	"overflow":  "the process reads only this share of what comes",
-	"twin":      "a second process of the same name lives at another address",
-	"replace":   "another process takes the place of this one without a gap",
-	"many":      "this share of all processes is killed at once; they start again after for",
-	"rolling":   "all processes leave and start again, one after the other within for",
-	"again":     "datagrams that the member has sent before come again, to anybody",
-	"drain":     "an operator asks another node to drain this one, under a permit",
-	"resume":    "an operator has the node come back",
-	"write-off": "an operator says that the node is gone for good",
-	"release":   "an operator starts a release of version amount, with soaks of for",
-	"halt":      "an operator halts the release",
-	"go":        "an operator has the release go on",
-	"way-back":  "an operator has the release go back",
-	"wrong":     "the node's supervisor starts another version than it was told, once",
-	"bad":       "the node serves worse for a while",
-	"liar":      "one member says of others that they are dead or suspect, with made up incarnations",
+	"kill":          "the process is killed; it starts again after for, if that is above 0",
+	"leave":         "the process says that it leaves, and ends; it starts again after for, if that is above 0",
+	"stop":          "the process stands still for a while",
+	"slow":          "the process stands still and goes on in turn",
+	"split":         "the members fall apart into amount parts that do not reach one another",
+	"alone":         "one member reaches nobody",
+	"half":          "one member does not reach every second of the others",
+	"deaf-to":       "one member hears the next one no more, and is heard by it",
+	"flap":          "one member is cut off and reached again every two periods",
+	"loss":          "this share of all datagrams is lost",
+	"jitter":        "datagrams take up to amount periods longer, and overtake one another",
+	"damage":        "this share of all datagrams is damaged",
+	"overflow":      "the process reads only this share of what comes",
+	"twin":          "a second process of the same name lives at another address",
+	"replace":       "another process takes the place of this one without a gap",
+	"many":          "this share of all processes is killed at once; they start again after for",
+	"rolling":       "all processes leave and start again, one after the other within for",
+	"again":         "datagrams that the member has sent before come again, to anybody",
+	"drain":         "an operator asks another node to drain this one, under a permit",
+	"resume":        "an operator has the node come back",
+	"write-off":     "an operator says that the node is gone for good",
+	"release":       "an operator starts a release of version amount, with soaks of for",
+	"halt":          "an operator halts the release",
+	"go":            "an operator has the release go on",
+	"way-back":      "an operator has the release go back",
+	"wrong":         "the node's supervisor starts another version than it was told, once",
+	"bad":           "the node serves worse for a while",
+	"region":        "one site is cut off from the others",
+	"set":           "an operator changes the settings, to some 40 times amount bytes",
+	"set-back":      "an operator takes the settings back to the ones before",
+	"garbles":       "the node hands over bodies of revisions that are damaged",
+	"upgrade":       "the node is started again, with a program that knows settings",
+	"dies-applying": "the process ends while it puts the next revision into effect",
+	"liar":          "one member says of others that they are dead or suspect, with made up incarnations",
 }
 
 // councilKinds are those that mean something only where there is a council.
-var councilKinds = map[string]bool{"drain": true, "resume": true, "write-off": true, "release": true, "halt": true, "go": true, "way-back": true, "bad": true, "wrong": true}
+var councilKinds = map[string]bool{"drain": true, "resume": true, "write-off": true, "release": true, "halt": true, "go": true, "way-back": true, "bad": true, "wrong": true,
+	"region": true, "set": true, "set-back": true, "garbles": true, "upgrade": true, "dies-applying": true}
+
+// settingsKinds are those that mean something only where there are settings of the fleet.
+var settingsKinds = map[string]bool{"set": true, "set-back": true, "garbles": true, "upgrade": true, "dies-applying": true, "region": true}
 
 // Kinds lists the kinds of fault with what they do.
 func Kinds() (list []string) {
@@ -112,6 +126,8 @@
 		return fmt.Errorf("delay, jitter: out of range")
 	case !ok(p.Length, 0, 1e5), !ok(p.Quiet, 0, 1e5), !ok(p.Forget, 1, 1e6):
 		return fmt.Errorf("length, quiet, forget: out of range")
+	case p.Settings && p.Council == 0:
+		return fmt.Errorf("settings: they need a council")
 	case p.Most <= p.Members && p.Most != 0:
 		return fmt.Errorf("most: not above members")
 	}
@@ -122,6 +138,9 @@
 		if councilKinds[f.Kind] && p.Council == 0 {
 			return fmt.Errorf("faults[%d].kind: %s needs a council", i, f.Kind)
 		}
+		if settingsKinds[f.Kind] && !p.Settings {
+			return fmt.Errorf("faults[%d].kind: %s needs settings", i, f.Kind)
+		}
 		if f.Target < 0 || f.Target >= p.Members {
 			return fmt.Errorf("faults[%d].target: %d is not among the %d", i, f.Target, p.Members)
 		}
--- a/internal/sim/views/run.go
+++ b/internal/sim/views/run.go
@@ -103,6 +103,9 @@
 			})
 		}
 	}
+	if w.field != nil && w.field.changes != nil {
+		w.field.changes.hit(f, t, long)
+	}
 	switch f.Kind {
 	case "kill":
 		w.end(p)
--- a/internal/sim/views/world.go
+++ b/internal/sim/views/world.go
@@ -27,8 +27,10 @@
 
 	Datagrams, Bytes int64 // sent by all
 	Longest          int   // datagram
-	MostHeld         int   // members in one view
-	FalseDeaths      int   // a living process was held for dead by somebody who could reach it
+	Revisions        int64 // datagrams that spread settings
+	RevisionBytes    int64
+	MostHeld         int // members in one view
+	FalseDeaths      int // a living process was held for dead by somebody who could reach it
 	MemberPeriods    float64
 	SettledAfter     time.Duration // after the last fault
 	Log              []string
@@ -176,6 +178,9 @@
 // start starts a process of a member.
 func (w *World) start(i int, at string, replaces, twin bool) *proc {
 	w.serial++
+	if old := w.procs[i]; old != nil && w.field != nil && w.field.changes != nil {
+		w.field.changes.late(old)
+	}
 	p := &proc{index: i, serial: w.serial, name: name(i), addr: at, up: true, twin: twin, share: 1, highest: map[string][2]uint64{}}
 	r := source(w.plan.Seed, 1000+uint64(w.serial))
 	p.base = w.now - time.Duration(r.Int64N(int64(time.Hour)))
@@ -249,6 +254,9 @@
 	if r := w.lying[p.index]; r != nil && !p.twin {
 		w.lie(r, s.Packet)
 	}
+	if w.field != nil && w.field.changes != nil {
+		w.field.changes.garble(p, s.Packet)
+	}
 	b, err := wire.Encode(w.mark, s.Packet)
 	if err != nil {
 		w.fault("%s cannot word a %v: %v", p.name, s.Packet.Kind, err)
@@ -258,6 +266,10 @@
 	w.out.Bytes += int64(len(b))
 	p.datagrams++
 	p.bytes += len(b)
+	if s.Packet.Kind == wire.Revision {
+		w.out.Revisions++
+		w.out.RevisionBytes += int64(len(b))
+	}
 	w.out.Longest = max(w.out.Longest, len(b))
 	w.hash.Write(b)
 	if len(p.sent) < 40 || w.rnd.IntN(10) == 0 && len(p.sent) < 400 {
@@ -310,7 +322,7 @@
 
 func (w *World) take(p *proc, d delivery) {
 	m, err := wire.Decode(w.mark, d.b)
-	if err != nil {
+	if err != nil || m.Kind == wire.Revision && (w.field == nil || w.field.changes == nil || w.field.changes.older[p.index]) { // a kind that an older program does not know
 		return
 	}
 	p.core.Take(w.now-p.base, d.from, m)
--- a/tools/sim/views.go
+++ b/tools/sim/views.go
@@ -23,16 +23,26 @@
 )
 
 type viewsCmd struct {
-	Seeds   viewSeeds   `cmd:"" help:"Play drawn seeds of fleets' views on all cores."`
-	Replay  viewReplay  `cmd:"" help:"Play one seed again and print all that views hold."`
-	Measure viewMeasure `cmd:"" help:"Measure detection, spread, false deaths, healing and traffic at several sizes."`
-	Mutants viewMutants `cmd:"" help:"Plant faults in the view, and say which scenarios and seeds catch each."`
-	Faults  viewFaults  `cmd:"" help:"List the kinds of fault."`
+	Seeds    viewSeeds       `cmd:"" help:"Play drawn seeds of fleets' views on all cores."`
+	Replay   viewReplay      `cmd:"" help:"Play one seed again and print all that views hold."`
+	Settings settingsMeasure `cmd:"" help:"Measure how long a change of the fleet's settings takes to be in force everywhere, and what it sends."`
+	Measure  viewMeasure     `cmd:"" help:"Measure detection, spread, false deaths, healing and traffic at several sizes."`
+	Mutants  viewMutants     `cmd:"" help:"Plant faults in the view, and say which scenarios and seeds catch each."`
+	Faults   viewFaults      `cmd:"" help:"List the kinds of fault."`
 }
 
 type viewSeeds struct {
-	N    int    `short:"n" default:"1000" help:"How many."`
-	From uint64 `default:"1" help:"The first one."`
+	N        int    `short:"n" name:"seeds" default:"1000" help:"How many."`
+	From     uint64 `default:"1" help:"The first one."`
+	Settings bool   `help:"With a council that decides on settings of the fleet."`
+}
+
+// draw draws the plan of a seed.
+func draw(seed uint64, settings bool) *views.Plan {
+	if settings {
+		return views.DrawSettings(seed)
+	}
+	return views.Draw(seed)
 }
 
 // all does something for each of n on all cores.
@@ -55,7 +65,7 @@
 	worst, steps := time.Duration(0), 0
 	all(s.N, func(i int) {
 		seed := s.From + uint64(i)
-		o := views.Run(views.Draw(seed), false)
+		o := views.Run(draw(seed, s.Settings), false)
 		mu.Lock()
 		defer mu.Unlock()
 		steps += o.Steps
@@ -74,11 +84,12 @@
 }
 
 type viewReplay struct {
-	Seed uint64 `arg:""`
+	Seed     uint64 `arg:""`
+	Settings bool   `help:"With a council that decides on settings of the fleet."`
 }
 
 func (r viewReplay) Run() error {
-	p := views.Draw(r.Seed)
+	p := draw(r.Seed, r.Settings)
 	fmt.Printf("%+v\n", *p)
 	o := views.Run(p, true)
 	for _, l := range o.Log {
@@ -164,6 +175,47 @@
 	return p.Save(16*vg.Centimeter, 8*vg.Centimeter, m.Plot)
 }
 
+type settingsMeasure struct {
+	Sizes []int     `default:"8,32,128,512,1000" help:"Members."`
+	Loss  []float64 `default:"0,0.1" help:"Shares of datagrams that are lost."`
+	Kib   []float64 `default:"1,40" help:"Settings that cannot be packed, in KiB."`
+	Times int       `default:"20" help:"Changes at each."`
+}
+
+func (m settingsMeasure) Run() error {
+	fmt.Println("| members | loss | KiB | decided: median, most (periods) | in force everywhere: median, most (periods) | datagrams (bytes) of a node in a period without changes | datagrams, KiB of all for one change |\n| --- | --- | --- | --- | --- | --- | --- |")
+	type cell struct {
+		n         int
+		loss, kib float64
+	}
+	var cells []cell
+	for _, n := range m.Sizes {
+		for _, l := range m.Loss {
+			for _, k := range m.Kib {
+				cells = append(cells, cell{n, l, k})
+			}
+		}
+	}
+	var mu sync.Mutex
+	failed := 0
+	all(len(cells), func(i int) {
+		c := cells[len(cells)-1-i]
+		f, o := views.MeasureSettings(c.n, m.Times, c.kib, c.loss, 1)
+		mu.Lock()
+		defer mu.Unlock()
+		if o.Fault != "" {
+			failed++
+			fmt.Printf("%d members, loss %.2f, at %v: %s\n", c.n, c.loss, o.At, o.Fault)
+		}
+		fmt.Printf("| %d | %.2f | %.0f | %.2f, %.2f (%d of %d) | %.2f, %.2f (%d) | %.2f (%.0f) | %.0f, %.0f |\n", c.n, c.loss, c.kib, quantile(f.First, 0.5), quantile(f.First, 1), len(f.First), m.Times,
+			quantile(f.All, 0.5), quantile(f.All, 1), len(f.All), f.Idle, f.IdleBytes, f.Datagrams, f.Bytes/1024)
+	})
+	if failed > 0 {
+		return errors.New("some changes went wrong")
+	}
+	return nil
+}
+
 type viewMutants struct {
 	Only string `help:"Only this one."`
 	Most int    `default:"60" help:"Seeds to play on each."`
