--- a/internal/fleet/council/settings.go
+++ b/internal/fleet/council/settings.go
@@ -56,7 +56,8 @@
 const (
 	mostBehind = 64
 	mostWhy    = 200 // bytes of a reason in a datagram
-	settleFor  = 15  // periods for which a leader without settings waits for what nodes hold, at most
+	meetFor    = 12  // periods in which nodes and seats that have come back empty find one another
+	settleFor  = 16  // periods for which a leader without settings waits for what nodes hold, at most
 )
 
 // Revision is the node's part in spreading the fleet's settings; nil where there are none.
@@ -147,7 +148,7 @@
 // that waits for one that does not speak, or cannot hand over what it holds, waits no longer than settleFor.
 func (k *Core) heardAll() bool {
 	switch span := k.now - k.lead.since; {
-	case span < freshFor*k.c.Period:
+	case span < meetFor*k.c.Period: // guards against a view that does not have yet who remembers
 		return false
 	case span >= settleFor*k.c.Period:
 		return true
--- a/internal/sim/views/settings.go
+++ b/internal/sim/views/settings.go
@@ -193,6 +193,7 @@
 			why := ""
 			if c.refuses[p.index] && revision.SumOf(rev.Body)[0]%3 == 0 {
 				why = "drill"
+				c.said["refused"]++
 			}
 			p.seat.core.Applied(w.now-p.base, rev.ID, why)
 			w.note("%s puts %v into effect: %q", p.name, rev.ID, why)
