A seat whose place was taken while it was cut off learns so

The leader tells it; it forgets, as a process that has crashed would, and only where it hears no leader.

--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/accord/accord.go
@@ -175,6 +175,7 @@
 	Parts  int     `cbor:"9,keyasint,omitempty"`
 	Got    []uint8 `cbor:"10,keyasint,omitempty"` // parts that have come, as bits
 	Hello  bool    `cbor:"11,keyasint,omitempty"`
+	Out    bool    `cbor:"13,keyasint,omitempty"` // another has the place of this voter, says the leader
 }
 
 // found says that a group is founded by these voters.
@@ -627,6 +628,11 @@
 			return
 		}
 	}
+	for _, n := range slices.Concat(k.c.Seats, k.c.Spares) { // a voter that was away as its place was taken goes on as if it had it
+		if h, ok := k.fresh(n); ok && h.group == k.group && n != k.c.Seat && !slices.Contains(k.conf.GetVoters(), h.voter.ID) {
+			k.say(n, &message{To: h.voter.ID, Out: true})
+		}
+	}
 	for _, v := range k.voters {
 		if h, ok := k.fresh(v.Seat); ok && h.voter.ID != v.ID && k.seen[v.Seat] && h.group.None() {
 			swap(v, h.voter, "its process has come back without memory")
--- a/internal/fleet/accord/raft.go
+++ b/internal/fleet/accord/raft.go
@@ -31,6 +31,10 @@
 		k.hellos[from] = heard{k.ticks, m.From, m.Group, m.High}
 		k.remind(m.From, m.Group)
 	case m.To != k.id: // it was meant for an earlier life
+	case m.Out:
+		if m.Group == k.group && k.silent >= 2*electionTicks { // of a leader that it hears it is still a voter
+			k.Forget("another has taken its place")
+		}
 	case m.Found != nil:
 		k.invited(m.Found)
 	case len(m.Got) > 0:
