--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -51,6 +51,7 @@
 // Seen is what the view holds of a node.
 type Seen struct {
 	Name   string
+	Site   string
 	Life   uint64
 	Status wire.Status
 	State  wire.State
--- a/internal/fleet/council/lead.go
+++ b/internal/fleet/council/lead.go
@@ -239,7 +239,7 @@
 	// still be out under that one's word.
 	for _, name := range slices.Sorted(maps.Keys(k.lead.seen)) {
 		if v := k.lead.seen[name]; s.Members[name] == nil && !s.Off[name] && v.Status <= wire.Dead && !holds[permit.Subject{Name: name}] {
-			add(&o.Nodes, permit.Out{Name: name, Why: "not known to the council"})
+			add(&o.Nodes, permit.Out{Name: name, Why: "not known to the council", Site: v.Site})
 		}
 	}
 	for _, w := range k.own.Workers {
--- a/internal/sim/mutants/fleet_test.go
+++ b/internal/sim/mutants/fleet_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,10 +23,9 @@
 	}
 }
 
-// Each planted fault in agreed drains and releases is caught by the test that is named for it.
+// Each planted fault in agreed drains and releases, and in the fleet's settings, is caught by the test that is named for it.
 func TestCouncilMutants(t *testing.T) {
-	for i := range Council {
-		m := &Council[i]
+	for _, m := range slices.Concat(Council, Settings) {
 		test, scenario, _ := strings.Cut(m.Test, "/")
 		args := []string{"-test.run", "^" + test + "$"}
 		if scenario != "" {
--- a/internal/sim/views/council.go
+++ b/internal/sim/views/council.go
@@ -261,7 +261,7 @@
 		s.viewed = f.w.now
 		var list []council.Seen
 		for _, m := range p.core.View().Members {
-			list = append(list, council.Seen{Name: m.Name, Life: m.Life, Status: m.Status, State: m.State})
+			list = append(list, council.Seen{Name: m.Name, Site: m.Site, Life: m.Life, Status: m.Status, State: m.State})
 		}
 		s.core.See(now, list)
 	}
