Scale runs change the fleet's settings, and say when each node has them in force

Need: the mechanism is to be held against its limit at size, before (files and SIGHUP) and after. Not measured yet.

--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -23,7 +23,7 @@
 
 // Command is what the tool tells one of its processes, a line of JSON on its standard input.
 type Command struct {
-	Do      string // begin, start, report, held, cut, end, reload
+	Do      string // begin, start, report, held, cut, end, reload, force
 	Role    string // of begin: hollow, discovery or worker
 	Plan    *Plan
 	Block   int
@@ -50,6 +50,7 @@
 	Dropped int64        // datagrams that a cut has dropped
 	Took    float64      // of reload: seconds
 	Read    int          // of reload: bytes of configuration that were read
+	Force   []Force      `json:",omitempty"`
 }
 
 // NodeReport is what one hollow node says.
@@ -61,6 +62,13 @@
 	Traffic gossip.Traffic
 }
 
+// Force is since when a hollow node has a revision of the fleet's settings in force.
+type Force struct {
+	Member int
+	No     uint64
+	At     int64 // Unix time in ns
+}
+
 // Child is one process of a run, or its part in the tool's own process. Its commands come one at a time.
 type Child struct {
 	start time.Time
@@ -169,6 +177,13 @@
 			}
 		}
 		r.Took = time.Since(begin).Seconds()
+	case "force":
+		for _, i := range c.own {
+			if n := c.nodes[i]; n != nil {
+				id, at := n.Force()
+				r.Force = append(r.Force, Force{i, id.No, at.UnixNano()})
+			}
+		}
 	case "report":
 		c.report(&r)
 	case "held":
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -18,6 +18,7 @@
 	"swiftdeal/internal/fleet/facts"
 	"swiftdeal/internal/fleet/gossip"
 	"swiftdeal/internal/fleet/member"
+	"swiftdeal/internal/fleet/revision"
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/seat"
 	"swiftdeal/internal/fleet/wire"
@@ -45,6 +46,10 @@
 	told     atomic.Bool
 	watched  *time.Timer
 	reloads  atomic.Int64
+
+	force   revision.ID // of the fleet's settings, in force here; guarded by mu, as what follows
+	forceAt time.Time
+	applied []seat.Applied
 }
 
 // Files is what a node is started with, as the product reads it: its configuration and its part in the fleet.
@@ -207,6 +212,53 @@
 // mostCounts is how many classes a node tells the council of.
 const mostCounts = 12
 
+// Apply implements seat.Host: the revision is laid over the configuration and checked as a node does it, beside the owner of the view.
+func (h host) Apply(r *revision.Revision) {
+	go func() {
+		h.n.follow(r)
+		h.n.service.Do(func(time.Duration, gossip.Part) {}) // whoever owns the view looks after each call
+	}()
+}
+
+// Applied implements seat.Host.
+func (h host) Applied() []seat.Applied {
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	list := h.n.applied
+	h.n.applied = nil
+	return list
+}
+
+// Settled implements seat.Host.
+func (h host) Settled() {}
+
+// follow puts a revision of the fleet's settings into effect, unless a later one is.
+func (n *Node) follow(r *revision.Revision) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.ID.Compare(n.force) <= 0 {
+		return
+	}
+	s, err := revision.Unpack(r.Body)
+	if err == nil {
+		_, err = n.c.With(s.Settings)
+	}
+	if err != nil {
+		n.log.Error("fleet settings refused", "revision", r.ID.String(), "why", err)
+		n.applied = append(n.applied, seat.Applied{ID: r.ID, Why: err.Error()})
+		return
+	}
+	n.force, n.forceAt = r.ID, time.Now()
+	n.applied = append(n.applied, seat.Applied{ID: r.ID})
+}
+
+// Force is the revision of the fleet's settings that is in force here, and since when.
+func (n *Node) Force() (revision.ID, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.force, n.forceAt
+}
+
 // Known implements seat.Host.
 func (h host) Known() (map[string]balance.Known, map[string]int) {
 	h.n.mu.Lock()
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -32,6 +33,7 @@
 	Rate       float64 // jobs a second at the real nodes
 	WorkMs     float64 // of a job
 	Changes    float64 // of the configuration at every node, a minute
+	Settings   bool    // changes are the fleet's settings, which its nodes spread; else files and SIGHUP, node by node
 	ListMin    float64 // changes of discovery's list, a minute
 	Fault      string  // "", or one of Faults
 	FaultS     float64 // for which it lasts
@@ -100,6 +102,8 @@
 		return fmt.Errorf("members: %d leave no hollow node beside %d seats and %d real ones", p.Members, p.Seats, p.Real)
 	case p.Real == 0 && p.Rate > 0:
 		return fmt.Errorf("rate: %g jobs a second, and real: 0 nodes to serve them", p.Rate)
+	case p.Settings && p.Real == 0:
+		return errors.New("settings: asked for at a real node, and real: 0")
 	case p.Fault != "" && Faults[p.Fault] == "":
 		return fmt.Errorf("fault: %q is none of them", p.Fault)
 	case p.Fault != "" && p.FaultS == 0:
@@ -123,7 +127,11 @@
 
 // values is the plan as a point records it.
 func (p *Plan) values() map[string]float64 {
-	return map[string]float64{"members": float64(p.Members), "seats": float64(p.Seats), "real": float64(p.Real), "workers": float64(p.Workers), "tenants": float64(p.Tenants),
+	settings := 0.0
+	if p.Settings {
+		settings = 1
+	}
+	return map[string]float64{"settings": settings, "members": float64(p.Members), "seats": float64(p.Seats), "real": float64(p.Real), "workers": float64(p.Workers), "tenants": float64(p.Tenants),
 		"regions": float64(p.Regions), "zones": float64(p.Zones), "racks": float64(p.Racks), "period_ms": float64(p.PeriodMs), "seconds": p.Seconds, "per_process": float64(p.PerProcess),
 		"rate": p.Rate, "work_ms": p.WorkMs, "changes_min": p.Changes, "list_changes_min": p.ListMin, "fault_s": p.FaultS, "seed": float64(p.Seed), "processes": float64(p.processes())}
 }
@@ -218,12 +226,27 @@
 	return list
 }
 
-// config words a member's configuration. revision changes a price, so that one file differs from the next.
-func (p *Plan) config(b places, i, revision int) []byte {
-	var profiles []map[string]any
+// profiles are the classes of the settings.
+func (p *Plan) profiles() (list []map[string]any) {
 	for t := range p.Tenants {
-		profiles = append(profiles, map[string]any{"name": tenantName(t), "effect": "retryable", "aimMs": 1500, "deadlineMs": 20000, "worth": 1 + t%5})
+		list = append(list, map[string]any{"name": tenantName(t), "effect": "retryable", "aimMs": 1500, "deadlineMs": 20000, "worth": 1 + t%5})
 	}
+	return list
+}
+
+// prices change with each revision.
+func (p *Plan) prices(revision int) map[string]any {
+	return map[string]any{"crossZone": 0.029 + float64(revision%100)/1e4, "waste": 0.04, "lateFail": 0.08, "probe": 0.002}
+}
+
+// overlay words the fleet's settings: all classes, of which operators change some, and the prices.
+func (p *Plan) overlay(revision int) map[string]any {
+	return map[string]any{"profiles": p.profiles(), "prices": p.prices(revision)}
+}
+
+// config words a member's configuration. revision changes a price, so that one file differs from the next.
+func (p *Plan) config(b places, i, revision int) []byte {
+	profiles := p.profiles()
 	text, err := json.Marshal(map[string]any{
 		"name": memberName(i), "listen": b.member(i, clientsPort), "control": b.member(i, controlPort), "discovery": b.discovery(), "seed": fmt.Sprintf("%x", p.Seed+uint64(i)),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 4096}, "known": json.RawMessage(standin.Text(0, true, nil)),
@@ -234,7 +257,7 @@
 				"dialTimeoutMs": 250, "maxAttempts": 4},
 			"loadReport":  map[string]any{"fields": []string{"tps", "concurrent", "x0", "x1"}, "how": "pull"},
 			"obligations": map[string]any{"coldFrom": 0.13, "coldMs": 8000, "fallMultiple": 3, "overloadForMs": 3000},
-			"prices":      map[string]any{"crossZone": 0.029 + float64(revision%100)/1e4, "waste": 0.04, "lateFail": 0.08, "probe": 0.002},
+			"prices":      p.prices(revision),
 			"profiles":    profiles,
 		},
 	})
@@ -261,6 +284,9 @@
 	if p.isSeat(i) {
 		fmt.Fprintf(&t, "dir = %q\n", filepath.Join(dir, memberName(i)+".council"))
 	}
+	if p.Settings {
+		fmt.Fprintf(&t, "[settings]\n")
+	}
 	fmt.Fprintf(&t, "[budget]\nnodes = %d\nnodes_site = 1\nworkers = %d\n", max(1, p.Members/20), max(1, p.Workers/20))
 	return t.Bytes()
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -418,6 +418,11 @@
 
 // measure measures for a while.
 func (f *field) measure(long time.Duration) (record.Point, error) {
+	if f.p.Settings && f.p.Changes > 0 {
+		if err := f.founded(); err != nil {
+			return record.Point{}, err
+		}
+	}
 	a, err := f.snapshot()
 	if err != nil {
 		return record.Point{}, err
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -36,6 +36,20 @@
 	"changes": {"changes of the configuration at every node, a minute", []float64{0, 2, 6, 12, 30}, func(p *Plan, v float64) { p.Changes = v },
 		"A change is a new file for each node and a SIGHUP to each real one; hollow nodes read and check theirs as SIGHUP would have it. change_s is until each real node's gw_reloads_ok has grown. " +
 			"That figure counts files that were read: nothing at any node, in the view or in the council says which configuration is in force, or where."},
+	"settings": {"members of the fleet, with changes of its settings that its nodes spread", []float64{32, 100, 335, 1000}, func(p *Plan, v float64) {
+		p.Members, p.Settings = int(v), true
+		if p.Changes == 0 {
+			p.Changes = 6
+		}
+	}, "A change is a revision of the fleet's settings (all classes and the prices), asked for at a real node. change_s is from that call until a node has it in force: of a hollow one by its own " +
+		"clock, of a real one when its figures say so; the tool's is the last node's."},
+	"files": {"members of the fleet, with changes of files at every node", []float64{32, 100, 335, 1000}, func(p *Plan, v float64) {
+		p.Members = int(v)
+		if p.Changes == 0 {
+			p.Changes = 6
+		}
+	}, "The same changes by a new file for each node and a SIGHUP to each real one, by a tool that knows every node and reaches each at once. change_s of the tool is until the last real node has read it; " +
+		"of a hollow one it is the time to read and check a file alone."},
 	"starts": {"jobs a second that clients start at the real nodes", []float64{5, 20, 55, 110}, func(p *Plan, v float64) { p.Rate = v }, ""},
 	"running": {"jobs that run at once at the real nodes: 110 a second start, each for as long as it takes", []float64{150, 600, 1200, 2500}, func(p *Plan, v float64) {
 		p.Rate = 110
--- a/tools/scale/run.go
+++ b/tools/scale/run.go
@@ -36,6 +36,7 @@
 	Rate       float64 `default:"20" help:"Jobs a second at the real nodes."`
 	WorkMs     float64 `default:"30" help:"Of a job."`
 	Changes    float64 `default:"0" help:"Of the configuration at every node, a minute."`
+	Settings   bool    `help:"Changes are of the fleet's settings, which its nodes spread; else files and SIGHUP."`
 	ListMin    float64 `name:"list-changes" default:"6" help:"Of discovery's list, a minute."`
 	Seed       uint64  `default:"1"`
 	SettleS    float64 `default:"180" help:"For the fleet to have one view."`
@@ -48,7 +49,7 @@
 
 func (h *how) plan() scale.Plan {
 	return scale.Plan{Members: h.Members, Seats: h.Seats, Real: h.Real, Workers: h.Workers, Tenants: h.Tenants, Regions: h.Regions, Zones: h.Zones, Racks: h.Racks, PeriodMs: h.PeriodMs,
-		Seconds: h.Seconds, PerProcess: h.PerProcess, Rate: h.Rate, WorkMs: h.WorkMs, Changes: h.Changes, ListMin: h.ListMin, Seed: h.Seed}
+		Seconds: h.Seconds, PerProcess: h.PerProcess, Rate: h.Rate, WorkMs: h.WorkMs, Changes: h.Changes, Settings: h.Settings, ListMin: h.ListMin, Seed: h.Seed}
 }
 
 type run struct {
