--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -94,8 +94,11 @@
 func (f *field) why(err error) error {
 	f.overMu.Lock()
 	defer f.overMu.Unlock()
-	if f.over != nil {
+	switch {
+	case f.over != nil:
 		return f.over
+	case errors.Is(err, context.Canceled):
+		return errors.New("it was interrupted")
 	}
 	return err
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -186,6 +186,16 @@
 	}
 }
 
+// A run that is interrupted says so.
+func TestInterrupted(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p := small()
+	if _, err := Play(ctx, &p, Options{Dir: t.TempDir(), Host: large}); err == nil || err.Error() != "it was interrupted" {
+		t.Errorf("%v", err)
+	}
+}
+
 // A child ends with its commands, which is all that it has of a tool that was killed, and says what it cannot do.
 func TestChildEnds(t *testing.T) {
 	exe, err := os.Executable()
--- a/tools/scale/run.go
+++ b/tools/scale/run.go
@@ -170,7 +170,7 @@
 	if name == "" {
 		name = "faults-" + f.Fault
 	}
-	note := fmt.Sprintf("%s. Sizes are phases: 0 before, 1 while it lasts (%g s), 2 after. one_view_s is how long until all members that are up hold what is so. "+
+	note := fmt.Sprintf("%s. Sizes are phases: 0 before, 1 while it lasts (measured for its first %g s; it lasts until all have noticed), 2 after. one_view_s is how long until all members that are up hold what is so. "+
 		"While that is waited for the tool asks each node once a period, which costs the nodes some processor time.", what, f.FaultS)
 	return scale.Run(ctx, name, join(note, f.Note), f.Out, "phase", []float64{float64(p.Members)}, false, func(ctx context.Context, _ float64) ([]record.Point, error) {
 		return scale.Play(ctx, &p, o)
