--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -105,7 +105,7 @@
 		v := view.View()
 		list := make([]council.Seen, 0, len(v.Members))
 		for _, m := range v.Members {
-			list = append(list, council.Seen{Name: m.Name, Life: m.Life, Status: m.Status, State: m.State})
+			list = append(list, council.Seen{Name: m.Name, Site: m.Site, Life: m.Life, Status: m.Status, State: m.State})
 		}
 		s.core.See(now, list)
 	}
