Scenarios of the fleet's settings with real processes

Need: what docs/design/revision.md promises was shown by simulation and unit tests alone.

Fifteen scenarios (internal/proving/settings_scenarios.go): a change and the way back, two changes at once, a region cut off, the leader killed, two and all three seats lost and back empty, a node started late, stopped through five changes, with an older file and SIGHUP, replaced by handover, bad links, an older program beside (one a seat), a revision faulty at one node, bad input, and a measure of 20 nodes. Steps wait for one another, not for the clock. All the while processes are held to their own words: what is in force and held never goes back within a life, an ID means the same everywhere, what was in force was decided on. Jobs of a class that no file knows show it too. Plans have settings and late; tools/proving plays and lists the scenarios.

--- a/internal/proving/field.go
+++ b/internal/proving/field.go
@@ -73,6 +73,9 @@
 	version string // that its supervisor started last; empty: the program's own
 	crashed bool   // its process has ended by itself, and is to be started again
 	wrong   bool   // its supervisor starts another version than it was told, once
+
+	plain bool                 // its fleet file has no [settings]
+	alter func(map[string]any) // changes the settings of its file; nil: they are as all have them
 }
 
 // Field is what a plan is played on.
@@ -121,6 +124,9 @@
 	calm    bool // no job comes any more; under the host's lock
 	first   accord.Group
 	sentTo  map[string]int
+	probes  map[string]bool // jobs of the harness's own that have come to a worker; under the host's lock
+	set     settingsWatch
+	notes   []string
 }
 
 // logState is what a process's own log has said so far.
@@ -167,7 +173,8 @@
 // newField prepares all that a plan needs but the processes.
 func newField(p *Plan, opt Options) (f *Field, err error) {
 	f = &Field{plan: p, opt: opt, dir: opt.Dir, start: time.Now(), host: standin.NewSockets(), rnd: rand.New(rand.NewPCG(p.Seed, 3)),
-		links: map[[2]int]*linkState{}, stop: make(chan struct{}), inCalls: map[string]*logState{}, tally: map[string]int{}, worth: map[string]float64{}, sentTo: map[string]int{}}
+		links: map[[2]int]*linkState{}, stop: make(chan struct{}), inCalls: map[string]*logState{}, tally: map[string]int{}, worth: map[string]float64{}, sentTo: map[string]int{}, probes: map[string]bool{}}
+	f.set.begin()
 	f.client.Timeout = 2 * time.Second
 	f.client.Transport = &http.Transport{DisableKeepAlives: true}
 	if f.block, err = reserve(); err != nil {
@@ -218,6 +225,12 @@
 	{"visit-summary", "dedup", "cell", 4000, 30000, 60000, 3, 0.2},
 }
 
+// profile words a class as a node's settings have it.
+func (c class) profile() map[string]any {
+	return map[string]any{"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim, "deadlineMs": c.deadline,
+		"repeatWindowMs": c.window, "aimStretch": 2.0, "worth": c.worth}
+}
+
 func balanceClasses() (list []balance.Class) {
 	for _, c := range classes {
 		b := balance.Class{Name: c.name, Deadline: time.Duration(c.deadline) * time.Millisecond, Window: time.Duration(c.window) * time.Millisecond}
@@ -237,6 +250,7 @@
 	for _, c := range classes {
 		m[c.name] = standin.Class{Keyed: c.effect == "dedup", Scope: c.scope, Window: time.Duration(c.window) * time.Millisecond}
 	}
+	m[walkIn] = standin.Class{} // which no file knows: revisions of the fleet's settings bring it
 	return m
 }
 
@@ -326,8 +340,7 @@
 	}
 	var profiles []map[string]any
 	for _, c := range classes {
-		profiles = append(profiles, map[string]any{"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim, "deadlineMs": c.deadline,
-			"repeatWindowMs": c.window, "aimStretch": 2.0, "worth": c.worth})
+		profiles = append(profiles, c.profile())
 	}
 	version, list := 0, []standin.Entry{}
 	if n.older { // the first half of the workers, all in service
@@ -353,6 +366,9 @@
 			"profiles":    profiles,
 		},
 	}
+	if n.alter != nil {
+		n.alter(c["settings"].(map[string]any))
+	}
 	text, err := json.MarshalIndent(c, "", " ")
 	if err != nil {
 		return nil, nil, err
@@ -387,6 +403,10 @@
 	if text := f.councilFile(); text != "" && !n.twin {
 		b.WriteString(strings.Replace(text, `"DIR"`, fmt.Sprintf("%q", filepath.Join(f.dir, name+".council")), 1))
 	}
+	if f.plan.Settings && !n.twin && !n.plain {
+		// The wait is so wide that only a real failure has a node take clients before it knows the fleet's settings.
+		b.WriteString("[settings]\nwait_ms = 30000\n")
+	}
 	for _, x := range f.opt.Extra {
 		b.WriteString(x + "\n")
 	}
--- a/internal/proving/plan.go
+++ b/internal/proving/plan.go
@@ -38,6 +38,8 @@
 	Disk       bool    `json:"disk,omitempty"`        // seats keep what they have promised
 	Release    string  `json:"release,omitempty"`     // the build that a release brings
 	Handover   bool    `json:"handover,omitempty"`    // it replaces processes without a drain
+	Settings   bool    `json:"settings,omitempty"`    // the council decides on settings for the whole fleet
+	Late       int     `json:"late,omitempty"`        // the last so many nodes are not started with the others
 	Worse      bool    `json:"worse,omitempty"`       // that build serves worse than nothing, so that its nodes count as out already
 }
 
@@ -236,12 +238,15 @@
 		{"sites", float64(p.Sites), 1, 4}, {"nodes", float64(p.Nodes), 1, MostNodes}, {"workers", float64(p.Workers), 0, MostWorkers},
 		{"period_ms", p.PeriodMs, 50, 60000}, {"forget_s", p.ForgetS, 0, 1e6}, {"rate", p.Rate, 0, 10000}, {"work_ms", p.WorkMs, 0, 60000},
 		{"length_ms", p.LengthMs, 0, 3.6e6}, {"settle_ms", p.SettleMs, 0, 3.6e6},
-		{"load_ms", p.LoadMs, 0, 3.6e6}, {"council", float64(p.Council), 0, min(7, float64(p.Nodes))}, {"budget", float64(p.Budget), 0, MostNodes}, {"site_budget", float64(p.SiteBudget), 0, MostNodes},
+		{"load_ms", p.LoadMs, 0, 3.6e6}, {"council", float64(p.Council), 0, min(7, float64(p.Nodes))}, {"budget", float64(p.Budget), 0, MostNodes}, {"late", float64(p.Late), 0, float64(p.Nodes - 1)}, {"site_budget", float64(p.SiteBudget), 0, MostNodes},
 	} {
 		if !ok(c.value, c.least, c.most) {
 			return c.key, fmt.Sprintf("%g is out of range, %g to %g", c.value, c.least, c.most)
 		}
 	}
+	if p.Settings && p.Council == 0 {
+		return "settings", "needs a council, which decides on them"
+	}
 	if p.Rate > 0 && p.Workers == 0 {
 		return "workers", "0, but there are jobs"
 	}
--- a/internal/proving/process.go
+++ b/internal/proving/process.go
@@ -219,6 +219,9 @@
 	Out     int                          `json:"out"`
 	Most    int                          `json:"most"`
 	Group   string                       `json:"group"`
+
+	Revision string `json:"revision"`
+	Bytes    int    `json:"bytes"`
 }
 
 // running reports whether the process has not ended.
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -131,6 +131,37 @@
 	})
 }
 
+// settingsInSuite are the scenarios of the fleet's settings that are played with every test; all others are for the hand.
+var settingsInSuite = map[string]bool{"settings-change-and-back": true, "settings-two-at-once": true, "settings-region-cut": true, "settings-all-seats-lost": true, "settings-older-file": true}
+
+// The hard cases of settings for the whole fleet.
+func TestSettings(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	t.Parallel()
+	for i := range SettingsScenarios {
+		s := &SettingsScenarios[i]
+		if *scenario != "" && s.Name != *scenario || *scenario == "" && !settingsInSuite[s.Name] && !*hand {
+			continue
+		}
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			opt := Options{}
+			if s.Name == "settings-older-program" {
+				bin, err := BuildWith(t.TempDir(), "older", OlderBuild...)
+				if err != nil {
+					t.Fatal(err)
+				}
+				opt.Versions = map[string]string{"older": bin}
+			}
+			for _, note := range play(t, &s.Plan, opt, s.Then).Notes {
+				t.Log(note)
+			}
+		})
+	}
+}
+
 // A newer program, whose records have a field that this one does not know, takes the place of the old one at one node after the
 // other, while jobs come.
 func TestTwoVersions(t *testing.T) {
--- a/internal/proving/run.go
+++ b/internal/proving/run.go
@@ -23,6 +23,7 @@
 	Views    []Sample // how the views converged
 	Timeline string   // on failure: the last entries of the event log, and the ends of all processes' logs
 	Dir      string
+	Notes    []string // measured by the scenario's own checks
 }
 
 // Sample is how many of the views that should be right were, at a time.
@@ -56,7 +57,7 @@
 	}
 	r := &Result{Plan: p, Dir: opt.Dir}
 	f.say(0, "starting "+fmt.Sprint(p.Nodes)+" processes")
-	for _, n := range f.nodes { // all at once, unknown to each other
+	for _, n := range f.nodes[:p.Nodes-p.Late] { // all at once, unknown to each other
 		if err := f.run(n, false); err != nil {
 			return nil, err
 		}
@@ -72,6 +73,9 @@
 			f.supervise(n)
 		}
 	}
+	if p.Settings {
+		f.watchSettings()
+	}
 	if opt.Begun != nil {
 		opt.Begun(f)
 	}
@@ -125,8 +129,9 @@
 	f.mu.Unlock()
 	f.finish(r)
 	f.judgeExits()
+	f.judgeSettings()
 	f.mu.Lock()
-	r.Failures, r.Stats = slices.Clone(f.failures), f.stats
+	r.Failures, r.Stats, r.Notes = slices.Clone(f.failures), f.stats, slices.Clone(f.notes)
 	f.mu.Unlock()
 	return r, nil
 }
--- a/internal/proving/watch.go
+++ b/internal/proving/watch.go
@@ -232,6 +232,9 @@
 
 // Job implements standin.Watcher.
 func (f *Field) Job(peer, id string, work float64) {
+	if strings.HasPrefix(id, probeName) {
+		f.probes[id] = true
+	}
 	f.tell(rules.Event{Kind: rules.Arrived, Node: f.arrives, Request: id, Peer: peer, Work: work})
 	for _, s := range f.workers {
 		if s.p.ID == peer {
@@ -407,6 +410,10 @@
 	case l.Msg == "fleet" && l.Part == "fleet":
 		f.event(Event{Kind: "view", Who: p.name, Life: p.life, Of: l.Member, Inc: l.Inc, Text: l.What + ": " + l.Why + " by " + l.By})
 		f.viewed(key, s, l)
+	case l.Msg == "fleet settings in force":
+		f.settingsInForce(p, l)
+	case l.Msg == "fleet settings refused, the old ones stay":
+		f.event(Event{Kind: "settings", Who: p.name, Life: p.life, Of: l.Revision, Text: "refused: " + l.Why})
 	case l.Msg == "datagrams dropped since the start":
 		f.event(Event{Kind: "dropped", Who: p.name, Life: p.life})
 	}
--- a/tools/proving/main.go
+++ b/tools/proving/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -56,20 +57,24 @@
 
 type faults struct{}
 
-// build builds the program, and another version of it, into a folder that the caller removes.
-func build() (bin, other string, remove func(), err error) {
+// build builds the program, another version of it, and those that scenarios name, into a folder that the caller removes.
+func build() (bin, other string, versions map[string]string, remove func(), err error) {
 	dir, err := os.MkdirTemp("", "proving-")
 	if err != nil {
-		return "", "", nil, err
+		return "", "", nil, nil, err
 	}
 	remove = func() { os.RemoveAll(dir) }
 	if bin, err = proving.Build(dir, ""); err == nil {
 		other, err = proving.Build(dir, "0.2.0-other")
 	}
+	if err == nil {
+		versions = map[string]string{}
+		versions["older"], err = proving.BuildWith(dir, "older", proving.OlderBuild...)
+	}
 	if err != nil {
 		remove()
 	}
-	return bin, other, remove, err
+	return bin, other, versions, remove, err
 }
 
 // folder makes the folder of a run.
@@ -98,7 +103,7 @@
 }
 
 // play plays one plan and leaves plan, results and events in a folder.
-func (h how) play(name string, p *proving.Plan, bin, other string, checks ...proving.Check) (*proving.Result, error) {
+func (h how) play(name string, p *proving.Plan, bin, other string, versions map[string]string, checks ...proving.Check) (*proving.Result, error) {
 	dir, err := h.folder(name)
 	if err != nil {
 		return nil, err
@@ -106,7 +111,7 @@
 	if err := write(filepath.Join(dir, "plan.json"), p); err != nil {
 		return nil, err
 	}
-	r, err := proving.Run(p, proving.Options{Bin: bin, Other: other, Dir: dir, Progress: h.bar(name)}, checks...)
+	r, err := proving.Run(p, proving.Options{Bin: bin, Other: other, Versions: versions, Dir: dir, Progress: h.bar(name)}, checks...)
 	if !h.Quiet {
 		fmt.Fprintln(os.Stderr)
 	}
@@ -122,6 +127,9 @@
 	}
 	fmt.Printf("%s: %s\n  views settled after %.0f ms; %d jobs asked, %d served, %d lost; each process %.2f%% of a core, %.0f MB, %.0f bytes a second to its fleet\n  %s\n",
 		name, verdict, r.Stats.SettledMs, r.Stats.Asked, r.Stats.Served, r.Stats.Lost, 100*r.Stats.CPU, r.Stats.RSSMB, r.Stats.BytesEach, dir)
+	for _, note := range r.Notes {
+		fmt.Println("  " + note)
+	}
 	return r, nil
 }
 
@@ -137,8 +145,8 @@
 	var p *proving.Plan
 	var checks []proving.Check
 	name := strings.TrimSuffix(filepath.Base(r.Plan), ".json")
-	for i := range proving.Scenarios {
-		if s := &proving.Scenarios[i]; s.Name == r.Plan {
+	for _, s := range scenarios() {
+		if s.Name == r.Plan {
 			p = &s.Plan
 			if s.Then != nil {
 				checks = append(checks, s.Then)
@@ -154,12 +162,12 @@
 			return fmt.Errorf("%s:%w", r.Plan, err)
 		}
 	}
-	bin, other, remove, err := build()
+	bin, other, versions, remove, err := build()
 	if err != nil {
 		return err
 	}
 	defer remove()
-	res, err := r.play(name, p, bin, other, checks...)
+	res, err := r.play(name, p, bin, other, versions, checks...)
 	if err == nil && !res.Ok() {
 		err = errors.New("the plan failed")
 	}
@@ -173,7 +181,7 @@
 }
 
 func (s soak) Run() error {
-	bin, other, remove, err := build()
+	bin, other, versions, remove, err := build()
 	if err != nil {
 		return err
 	}
@@ -184,7 +192,7 @@
 		if s.Nodes > 0 {
 			p.Nodes = s.Nodes
 		}
-		r, err := s.play(fmt.Sprintf("seed-%d", p.Seed), p, bin, other)
+		r, err := s.play(fmt.Sprintf("seed-%d", p.Seed), p, bin, other, versions)
 		if err != nil {
 			return err
 		}
@@ -237,12 +245,17 @@
 		fmt.Println(k)
 	}
 	fmt.Println("\nscenarios:")
-	for _, s := range proving.Scenarios {
+	for _, s := range scenarios() {
 		fmt.Println(" ", s.Name)
 	}
 	return nil
 }
 
+// scenarios lists those that can be played by name: of the view, and of settings for the whole fleet.
+func scenarios() []proving.Scenario {
+	return slices.Concat(proving.Scenarios, proving.SettingsScenarios)
+}
+
 func main() {
 	ctx := kong.Parse(&cli{}, kong.Name("proving"), kong.Description("Real processes of the program under faults, on loopback."), kong.UsageOnError())
 	ctx.FatalIfErrorf(ctx.Run())
