--- a/internal/scale/page/rows.go
+++ b/internal/scale/page/rows.go
@@ -24,14 +24,15 @@
 
 // Targets are the sizes at which figures are given, by what a run's sizes count. That of the nodes is not told.
 var Targets = map[string][]float64{
-	"members": {100, 335, 1000}, "nodes": {100, 335, 1000}, "workers": {670}, "tenants": {160}, "running": {2500}, "starts": {110},
+	"members": {100, 335, 1000}, "nodes": {100, 335, 1000}, "settings": {100, 335, 1000}, "files": {100, 335, 1000}, "workers": {670}, "tenants": {160}, "running": {2500}, "starts": {110},
 	"zones": {8, 24}, "changes": {0.264}, // 380 a day, by the minute
 	"queue": {110}, // the starts of a second of the peak
 }
 
 const (
-	view    = "internal/fleet/member, gossip"
-	council = "internal/fleet/council, accord"
+	view     = "internal/fleet/member, gossip"
+	council  = "internal/fleet/council, accord"
+	settings = "internal/fleet/revision, council, seat"
 )
 
 // Rows are all figures of the page; one more is one line more.
@@ -55,6 +56,8 @@
 	{"node", "memory, a process with clients", "running", "running", "real", []string{"rss_bytes"}, "worst", 0, "B", "internal/admit, send, balance", ""},
 	{"node", "what it tells of its workers, once a period of a second", "decision-workers", "workers", "decision", []string{"ns:rooms", "ns:know"}, "worst", 49e6, "ns", "balance", "4.9% of a core"},
 	{"node", "its view's own period of a second", "view-members", "members", "view", []string{"ns:period"}, "worst", 49e6, "ns", "internal/fleet/member", "4.9% of a core"},
+	{"node", "bytes sent and received for the fleet's settings, six changes a minute", "settings", "settings", "hollow", []string{"sent_bytes_s:revision", "received_bytes_s:revision"}, "worst", bytesLimit, "B/s", settings, "23 times the target's rate"},
+	{"node", "processor time, no clients, six changes a minute", "settings", "settings", "hollow", []string{"cpu_core"}, "worst", coreLimit, "core", settings, "all of control"},
 	{"worker", "requests, probes among them", "members", "members", "worker", []string{"calls_s"}, "mean", 0, "1/s", "internal/send, balance", ""},
 	{"worker", "requests, probes among them", "workers", "workers", "worker", []string{"calls_s"}, "mean", 0, "1/s", "internal/send, balance", ""},
 	{"worker", "requests, probes among them", "starts", "starts", "worker", []string{"calls_s"}, "mean", 0, "1/s", "internal/send, balance", ""},
@@ -72,6 +75,7 @@
 	{"seat", "memory", "members", "members", "seat", []string{"rss_bytes"}, "worst", 0, "B", council, ""},
 	{"seat", "bytes sent and received", "zones", "zones", "seat", []string{"sent_bytes_s", "received_bytes_s"}, "worst", 0, "B/s", council, ""},
 	{"tool", "one view of all after a start of all", "members", "members", "tool", []string{"one_view_s"}, "worst", 0, "s", view, ""},
+	{"tool", "a change of the fleet's settings, in force at the last node: time", "settings", "settings", "tool", []string{"change_s"}, "worst", 8, "s", settings, ""},
 	{"tool", "a change at all nodes: time", "changes", "changes", "tool", []string{"change_s"}, "worst", 8, "s", "internal/node", "a file for each node and SIGHUP, by hand"},
 	{"tool", "a change at all nodes: files", "changes", "changes", "tool", []string{"change_files"}, "worst", 0, "files", "internal/node", ""},
 	{"tool", "a change at all nodes: bytes", "changes", "changes", "tool", []string{"change_bytes"}, "worst", 0, "B", "internal/node", ""},
@@ -97,7 +101,6 @@
 	{"a priority class whose tasks start within 1.1 s", "held requests go by the time left to their class's aim (`balance`); no class goes before another, nothing that runs gives way, and a late start is not counted by class"},
 	{"3 regions", "`internal/fleet` knows sites, of one level: no budget, seat rule or timing is for a region"},
 	{"a rack or switch as a failure domain", "neither the view's records nor discovery's list name one: budgets cannot keep its members apart"},
-	{"changes of configuration in force everywhere within 8 s", "each node reads its own file at SIGHUP (`internal/node`); nothing agrees on a change, brings it to the fleet or tells where it is in force"},
 	{"machines set aside for control", "a seat of the council is a node that serves clients too (`internal/node`): there is no process for control alone"},
 	{"jobs that outlive a node, a client's connection or an hour", "a request lives with its client's connection and ends with it, and a deadline is an hour at most (`internal/takein`): nothing keeps it or starts it again"},
 }
--- a/internal/scale/page/tables.go
+++ b/internal/scale/page/tables.go
@@ -143,7 +143,7 @@
 
 // counted is what the sizes of a sweep are, in words.
 func counted(sweep string) string {
-	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second", "changes": "changes a minute", "zones": "zones in all"}[sweep], sweep)
+	return cmp.Or(map[string]string{"queue": "requests held", "running": "requests running", "starts": "starts a second", "changes": "changes a minute", "settings": "members, six changes a minute", "files": "members, six changes a minute", "zones": "zones in all"}[sweep], sweep)
 }
 
 func (s *series) carrier() string {
@@ -286,7 +286,7 @@
 	}
 	out := map[string]string{
 		"slopes": slopes(all), "honesty": honesty(all), "ranking": ranking(all), "runs": list(runs),
-		"faults": faults(runs), "changes": orNotRun(matrix(runs, "worst", changing, "changes")),
+		"faults": faults(runs), "changes": orNotRun(matrix(runs, "worst", changing, "changes", "files", "settings")),
 		"benchmarks": orNotRun(matrix(runs, "median", timed, "decision", "view-")),
 	}
 	for _, name := range []string{"node", "worker", "discovery", "seat", "tool", "decision"} {
