--- a/internal/fleet/revision/revision_test.go
+++ b/internal/fleet/revision/revision_test.go
@@ -224,3 +224,31 @@
 		t.Error("not heard, or answered again")
 	}
 }
+
+// What is held never goes back: neither by an earlier revision of the council's, nor by one that another member tells of.
+func TestEarlier(t *testing.T) {
+	k := core()
+	later, earlier := &Revision{id(1, 5), []byte("later")}, &Revision{id(1, 4), []byte("earlier")}
+	k.Committed(0, later)
+	k.Committed(0, earlier)
+	h := earlier.Head()
+	k.Take(0, "n1", wire.Word(message{Op: tell, ID: h.ID, Sum: h.Sum[:], Size: uint32(h.Size)}))
+	if f, _, _ := k.Sizes(); f != 0 || k.Held() != later {
+		t.Errorf("holds %v, fetches %d", k.Held().ID, f)
+	}
+}
+
+// Each part of a long body is asked for once where none is lost.
+func TestWindows(t *testing.T) {
+	k := core()
+	const parts = 3 * window
+	body := make([]byte, parts*partBytes)
+	sum := SumOf(body)
+	k.Take(0, "n1", wire.Word(message{Op: tell, ID: id(1, 1), Sum: sum[:], Size: uint32(len(body))}))
+	for i := range uint32(parts) {
+		k.Take(0, "n1", wire.Word(message{Op: part, Sum: sum[:], Part: i, Body: body[:partBytes]}))
+	}
+	if n := k.Counts().Gets; n != 3 || k.Held() == nil {
+		t.Errorf("%d questions for %d parts", n, parts)
+	}
+}
