--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -16,8 +16,8 @@
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/cost"
-	"swiftdeal/internal/machine"
 	"swiftdeal/internal/node"
+	"swiftdeal/internal/platform"
 )
 
 // version is the program's version.
@@ -88,7 +88,7 @@
 	reloads := make(chan node.Reload)
 	d.Reloads = reloads
 	go reread(hup, c, reloads)
-	return node.Serve(ctx, machine.Real(), c, d, log)
+	return node.Serve(ctx, platform.Real(), c, d, log)
 }
 
 // reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
--- a/internal/book/book.go
+++ b/internal/accounting/accounting.go
@@ -1,6 +1,6 @@
-// Package book keeps the books: how requests ended, by class too, how many tries went out, and how long requests took.
+// Package accounting keeps the books: how requests ended, by class too, how many tries went out, and how long requests took.
 // It writes them to the log sparingly.
-package book
+package accounting
 
 import (
 	"cmp"
--- a/internal/book/book_test.go
+++ b/internal/accounting/accounting_test.go
@@ -1,4 +1,4 @@
-package book
+package accounting
 
 import (
 	"bytes"
--- a/internal/admit/admit.go
+++ b/internal/admission/admission.go
@@ -1,6 +1,6 @@
-// Package admit decides whether a request that was taken in may enter: its class and key, its id, and
+// Package admission decides whether a request that was taken in may enter: its class and key, its id, and
 // the room for it. It also winds the backstop that answers if nothing else has.
-package admit
+package admission
 
 import (
 	"fmt"
--- a/internal/admit/admit_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package admit
+package admission
 
 import (
 	"net/http"
--- a/internal/upstream/upstream.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package upstream keeps in touch with discovery: it asks for the upstream group, whole or as a watch
+// Package discovery keeps in touch with discovery: it asks for the upstream group, whole or as a watch
 // on changes, and tells what comes.
-package upstream
+package discovery
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // Events is told the news: a failed call once, whatever went wrong with it.
@@ -28,7 +28,7 @@
 // Client asks discovery. Each call is made once; the decision module says when to ask again.
 type Client struct {
 	limits config.Limits
-	dial   machine.Dial
+	dial   platform.Dial
 	events Events
 
 	mu      sync.Mutex
@@ -40,7 +40,7 @@
 }
 
 // New returns a client that holds the group of the given version.
-func New(l config.Limits, d machine.Dial, addr string, version int64, events Events) *Client {
+func New(l config.Limits, d platform.Dial, addr string, version int64, events Events) *Client {
 	c := &Client{limits: l, dial: d, addr: addr, version: version, events: events, stop: func() {}}
 	c.here, c.moved = context.WithCancel(context.Background())
 	return c
--- a/internal/upstream/upstream_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package upstream
+package discovery
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 func init() { flag.Set("rapid.seed", "1") } // the same cases every time
@@ -59,7 +59,7 @@
 
 func client(addr string, silence time.Duration) (*Client, events) {
 	e := make(events, 100)
-	return New(config.Limits{ListWait: time.Minute, ListFirst: time.Minute, ListSilence: silence, ListBytes: 1 << 10}, machine.Real().Dial, addr, 41, e), e
+	return New(config.Limits{ListWait: time.Minute, ListFirst: time.Minute, ListSilence: silence, ListBytes: 1 << 10}, platform.Real().Dial, addr, 41, e), e
 }
 
 const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/internal/route/route.go
+++ b/internal/dispatch/dispatch.go
@@ -1,6 +1,6 @@
-// Package route is where requests meet the decision module. One goroutine owns the Balancer: all else
+// Package dispatch is where requests meet the decision module. One goroutine owns the Balancer: all else
 // posts events to it, and the Balancer's actions start work that reports back with later events.
-package route
+package dispatch
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 )
 
@@ -46,8 +46,8 @@
 	upstream Upstream
 	open     map[string]*entry
 	log      *slog.Logger
-	debug    bool          // the log holds what happens to each request
-	order    machine.Order // of events at one instant; nil: as they come
+	debug    bool           // the log holds what happens to each request
+	order    platform.Order // of events at one instant; nil: as they come
 	start    time.Time
 	over     chan struct{} // closed when Run has ended
 	held     chan struct{} // closed once an upstream group that is not empty is held
@@ -64,11 +64,11 @@
 
 // New returns the stage, or an error that names the setting that cannot be right. The figures of the upstream group are
 // taken at most every viewEvery; never if that is 0.
-func New(s balance.Settings, seed uint64, viewEvery time.Duration, order machine.Order, log *slog.Logger) (*Stage, error) {
+func New(s balance.Settings, seed uint64, viewEvery time.Duration, order platform.Order, log *slog.Logger) (*Stage, error) {
 	r := &Stage{box: newMailbox(), open: map[string]*entry{}, log: log, order: order, viewEvery: viewEvery, start: time.Now(), held: make(chan struct{}), over: make(chan struct{})}
 	r.tick = func() { r.b.Timer(r.now(), "") }
-	r.wake = func() { r.box.post(machine.Source{Kind: machine.Timer}, r.tick) }
-	r.look = func() { r.box.post(machine.Source{Kind: machine.Timer}, func() { r.viewNext = false }) }
+	r.wake = func() { r.box.post(platform.Source{Kind: platform.Timer}, r.tick) }
+	r.look = func() { r.box.post(platform.Source{Kind: platform.Timer}, func() { r.viewNext = false }) }
 	r.debug = log.Enabled(context.Background(), slog.LevelDebug)
 	var err error
 	r.b, err = balance.New(s, seed, r)
@@ -143,7 +143,7 @@
 
 // Accept posts a request that was admitted.
 func (r *Stage) Accept(c *request.Context) {
-	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
+	r.box.post(platform.Source{Kind: platform.Client, ID: c.ID}, func() {
 		if r.open[c.ID] != nil { // an earlier one of this id is over, but a try of it is still out
 			c.Finish(request.Answer{Verdict: request.Malformed, Reason: "X-Request-Id: in use by an open request"})
 			return
@@ -156,7 +156,7 @@
 // Vanished posts the news that a request is over without the Balancer: its client left, or the backstop
 // answered.
 func (r *Stage) Vanished(c *request.Context) {
-	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
+	r.box.post(platform.Source{Kind: platform.Client, ID: c.ID}, func() {
 		if e := r.open[c.ID]; e != nil && e.c == c && !e.over {
 			r.b.Vanished(r.now(), c.ID)
 			r.close(e)
@@ -166,7 +166,7 @@
 
 // Listed posts news of the upstream group.
 func (r *Stage) Listed(kind balance.List, g config.Group) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() {
 		if kind == balance.ListFull || kind == balance.ListCached || kind == balance.ListChanges || kind == balance.ListNoted {
 			r.sender.Update(g) // first: the Balancer may send to a peer as soon as it hears of it
 		}
@@ -192,7 +192,7 @@
 
 // Moved posts discovery's new address. The Balancer asks there at once.
 func (r *Stage) Moved(addr string) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() {
 		r.upstream.Move(addr)
 		r.b.Members(r.now(), balance.ListMoved, nil)
 	})
@@ -201,7 +201,7 @@
 // Retune puts other settings into effect, or says why they cannot be right. When it returns, what is accepted goes by
 // them.
 func (r *Stage) Retune(s balance.Settings) (err error) {
-	r.ask(machine.Source{Kind: machine.Drain}, func() { err = r.b.Retune(r.now(), s) })
+	r.ask(platform.Source{Kind: platform.Drain}, func() { err = r.b.Retune(r.now(), s) })
 	return err
 }
 
@@ -209,7 +209,7 @@
 // off its connection, and reports whether that could be; none is taken where none is out. It returns false for a request
 // that stays, because it is over or two of its tries are out.
 func (r *Stage) Release(c *request.Context, detach func() bool) (m balance.Moved, try int, peer string, ok bool) {
-	r.ask(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
+	r.ask(platform.Source{Kind: platform.Client, ID: c.ID}, func() {
 		e := r.open[c.ID]
 		if e == nil || e.c != c || e.over {
 			return
@@ -230,7 +230,7 @@
 // Adopt goes on with a request that another process has given up. resume takes up its try that is out, and returns what
 // calls it off. A request that cannot be taken is answered.
 func (r *Stage) Adopt(c *request.Context, m balance.Moved, try int, resume func() (cancel func())) {
-	r.box.post(machine.Source{Kind: machine.Client, ID: c.ID}, func() {
+	r.box.post(platform.Source{Kind: platform.Client, ID: c.ID}, func() {
 		m.Request = c.Request
 		e := &entry{c: c}
 		for range m.Tries {
@@ -250,7 +250,7 @@
 }
 
 // ask has the owner of the Balancer do something, and waits for that, unless the stage has ended.
-func (r *Stage) ask(from machine.Source, do func()) {
+func (r *Stage) ask(from platform.Source, do func()) {
 	done := make(chan struct{})
 	r.box.post(from, func() {
 		defer close(done)
@@ -264,18 +264,18 @@
 
 // Learn posts what the process before this one has learned.
 func (r *Stage) Learn(k balance.Knowledge) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() { r.b.Learn(r.now(), k) })
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() { r.b.Learn(r.now(), k) })
 }
 
 // Look posts a look at what the Balancer knows. It does not wait; seen is called by the Balancer's owner, and may have it
 // learn more.
 func (r *Stage) Look(seen func(now time.Duration, k balance.Knowledge, rooms []int)) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() { seen(r.now(), r.b.Know(), r.b.Rooms(r.now())) })
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() { seen(r.now(), r.b.Know(), r.b.Rooms(r.now())) })
 }
 
 // Busy has told which of some peers no try is at. What was listed before has taken effect by then.
 func (r *Stage) Busy(peers []string, quiet func(peers []string)) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() {
 		var none []string
 		for _, p := range peers {
 			if r.b.Charged(p) == 0 {
@@ -289,7 +289,7 @@
 // Heed posts others' word on workers. It enters as knowledge of this node's own, with what that holds otherwise: caution says
 // which workers' starts and backing off change.
 func (r *Stage) Heed(caution func(now time.Duration, w *balance.Known) bool) {
-	r.box.post(machine.Source{Kind: machine.Discovery}, func() {
+	r.box.post(platform.Source{Kind: platform.Discovery}, func() {
 		now, k := r.now(), r.b.Know()
 		changed := k.Workers[:0]
 		for _, w := range k.Workers {
@@ -306,7 +306,7 @@
 // Yield posts whether another process takes clients in this one's place, and waits for what the Balancer has learned
 // until then.
 func (r *Stage) Yield(yes bool) (k balance.Knowledge) {
-	r.ask(machine.Source{Kind: machine.Drain}, func() {
+	r.ask(platform.Source{Kind: platform.Drain}, func() {
 		r.b.Yield(r.now(), yes)
 		k = r.b.Know()
 		k.Slots = maps.Clone(k.Slots) // the Balancer goes on with its own
@@ -316,7 +316,7 @@
 
 // Ends posts the news that the node will be stopped at the given time.
 func (r *Stage) Ends(at time.Time) {
-	r.box.post(machine.Source{Kind: machine.Drain}, func() {
+	r.box.post(platform.Source{Kind: platform.Drain}, func() {
 		now := r.now()
 		r.b.Ends(now, now+time.Until(at))
 	})
@@ -324,7 +324,7 @@
 
 // Advanced posts news about a try that is still out.
 func (r *Stage) Advanced(id string, attempt int, kind balance.NoteKind, share float64) {
-	r.box.post(machine.Source{Kind: machine.Try, ID: id, N: attempt}, func() {
+	r.box.post(platform.Source{Kind: platform.Try, ID: id, N: attempt}, func() {
 		r.log.Debug("note", "id", id, "attempt", attempt, "kind", kind, "share", share)
 		r.b.Note(r.now(), id, attempt, kind, share)
 	})
@@ -333,7 +333,7 @@
 // Ended posts the end of a try. The first result goes to the client from here, and ends the request; so does a
 // peer's word that the request is at fault, since no other peer would take it either.
 func (r *Stage) Ended(o balance.Outcome, result string) {
-	r.box.post(machine.Source{Kind: machine.Try, ID: o.Request, N: o.Attempt}, func() {
+	r.box.post(platform.Source{Kind: platform.Try, ID: o.Request, N: o.Attempt}, func() {
 		e := r.open[o.Request]
 		if e == nil {
 			return
@@ -356,7 +356,7 @@
 
 // Probed posts the result of a probe.
 func (r *Stage) Probed(peer string, res balance.Result, rep *balance.Report) {
-	r.box.post(machine.Source{Kind: machine.Probe, ID: peer}, func() {
+	r.box.post(platform.Source{Kind: platform.Probe, ID: peer}, func() {
 		r.log.Debug("probe", "peer", peer, "result", res, "report", rep)
 		r.b.Probed(r.now(), peer, res, rep)
 	})
@@ -450,7 +450,7 @@
 		return
 	}
 	t := time.AfterFunc(d, func() {
-		r.box.post(machine.Source{Kind: machine.Timer, ID: id}, func() { r.b.Timer(r.now(), id) })
+		r.box.post(platform.Source{Kind: platform.Timer, ID: id}, func() { r.b.Timer(r.now(), id) })
 	})
 	if e := r.open[id]; e != nil {
 		e.timers = append(e.timers, t)
--- a/internal/route/route_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,4 +1,4 @@
-package route
+package dispatch
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 )
 
@@ -58,7 +58,7 @@
 // settle waits until all events posted so far are handled.
 func settle(r *Stage) {
 	done := make(chan struct{})
-	r.box.post(machine.Source{}, func() { close(done) })
+	r.box.post(platform.Source{}, func() { close(done) })
 	<-done
 }
 
@@ -166,16 +166,16 @@
 // byName is an order in which sources go by their ids.
 type byName struct{}
 
-func (byName) Settle()                         {}
-func (byName) Owner(func(string) int)          {}
-func (byName) Before(a, b machine.Source) bool { return a.ID < b.ID }
+func (byName) Settle()                          {}
+func (byName) Owner(func(string) int)           {}
+func (byName) Before(a, b platform.Source) bool { return a.ID < b.ID }
 
 // Under an order of its own, a machine hands out what came at one instant by source, and each source's news as
 // they came.
 func TestMailboxInOrder(t *testing.T) {
 	m, got := newMailbox(), ""
 	for i, id := range []string{"b", "a", "b", "c", "a"} {
-		m.post(machine.Source{ID: id}, func() { got += fmt.Sprint(id, i, " ") })
+		m.post(platform.Source{ID: id}, func() { got += fmt.Sprint(id, i, " ") })
 	}
 	for e, ok := m.first(byName{}); ok; e, ok = m.first(byName{}) {
 		e.run()
@@ -192,7 +192,7 @@
 	r.Accept(c)
 	h.want(t, "try a0 p")
 	posted := make(chan *entry, 1)
-	r.box.post(machine.Source{}, func() { posted <- r.open["a"] })
+	r.box.post(platform.Source{}, func() { posted <- r.open["a"] })
 	e := <-posted
 	r.Ended(balance.Outcome{Request: "a", Worker: "p", Result: balance.OK}, "result")
 	<-c.Ended()
@@ -211,7 +211,7 @@
 func TestMailbox(t *testing.T) {
 	m, got := newMailbox(), []int{}
 	for i := range 1000 {
-		m.post(machine.Source{}, func() { got = append(got, i) })
+		m.post(platform.Source{}, func() { got = append(got, i) })
 	}
 	for _, e := range m.take() {
 		e.run()
@@ -229,7 +229,7 @@
 // A batch's memory is used again, but not while its own events run; what a burst has needed is given back.
 func TestMailboxUsesItsMemoryAgain(t *testing.T) {
 	m, got := newMailbox(), ""
-	post := func(s string) { m.post(machine.Source{}, func() { got += s }) }
+	post := func(s string) { m.post(platform.Source{}, func() { got += s }) }
 	for range 3 {
 		post("a")
 		post("b")
@@ -242,9 +242,9 @@
 		}
 	}
 	run := func() {}
-	n := testing.AllocsPerRun(100, func() { m.post(machine.Source{}, run); m.take() })
+	n := testing.AllocsPerRun(100, func() { m.post(platform.Source{}, run); m.take() })
 	for range 2 * mostSpare {
-		m.post(machine.Source{}, run)
+		m.post(platform.Source{}, run)
 	}
 	if m.take(); got != "abccabccabcc" || n > 0 || cap(m.spare) > mostSpare {
 		t.Errorf("%s, %v allocations an event, room for %d kept", got, n, cap(m.spare))
--- a/internal/route/mailbox.go
+++ b/internal/dispatch/mailbox.go
@@ -1,14 +1,14 @@
-package route
+package dispatch
 
 import (
 	"sync"
 
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // event is a piece of news for the owner of the Balancer.
 type event struct {
-	from machine.Source
+	from platform.Source
 	run  func()
 }
 
@@ -23,7 +23,7 @@
 
 func newMailbox() *mailbox { return &mailbox{ready: make(chan struct{}, 1)} }
 
-func (m *mailbox) post(from machine.Source, run func()) {
+func (m *mailbox) post(from platform.Source, run func()) {
 	m.mu.Lock()
 	m.events = append(m.events, event{from, run})
 	m.mu.Unlock()
@@ -51,7 +51,7 @@
 }
 
 // first takes the one event that goes before all others by the given order, and of one source the eldest.
-func (m *mailbox) first(o machine.Order) (e event, ok bool) {
+func (m *mailbox) first(o platform.Order) (e event, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.events) == 0 {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -15,7 +15,7 @@
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/fleet/member"
 	"swiftdeal/internal/fleet/wire"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // Own is what the node says of itself. It is asked for once a period and must not wait.
@@ -49,7 +49,7 @@
 // Service is a node's part in its fleet.
 type Service struct {
 	o     Options
-	m     machine.Machine
+	m     platform.Machine
 	log   *slog.Logger
 	mark  uint32
 	start time.Time
@@ -89,7 +89,7 @@
 }
 
 // New returns a service that has opened nothing yet.
-func New(m machine.Machine, o Options, log *slog.Logger) *Service {
+func New(m platform.Machine, o Options, log *slog.Logger) *Service {
 	if o.Fleet.Member != "" {
 		o.Name = o.Fleet.Member
 	}
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -10,7 +10,7 @@
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/fleet/wire"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // start starts a service of a fleet at an address of its own.
@@ -20,7 +20,7 @@
 	if allow != "" {
 		f.Allow = []netip.Prefix{netip.MustParsePrefix(allow)}
 	}
-	s := New(machine.Real(), Options{Fleet: f, Own: func() Own { return Own{State: wire.Serving, Digest: wire.Digest{Open: 3}} }}, slog.New(slog.DiscardHandler))
+	s := New(platform.Real(), Options{Fleet: f, Own: func() Own { return Own{State: wire.Serving, Digest: wire.Digest{Open: 3}} }}, slog.New(slog.DiscardHandler))
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -116,7 +116,7 @@
 	life := y.Report().Members[0].Life
 	o := x.o
 	o.Replaces, o.BindWait = true, time.Minute
-	next := New(machine.Real(), o, slog.New(slog.DiscardHandler))
+	next := New(platform.Real(), o, slog.New(slog.DiscardHandler))
 	if err := next.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 	})
 	// One whose address never comes free says so and ends.
 	o.BindWait = 0
-	if err := New(machine.Real(), o, slog.New(slog.DiscardHandler)).Start(); err == nil {
+	if err := New(platform.Real(), o, slog.New(slog.DiscardHandler)).Start(); err == nil {
 		t.Error("two processes have one address")
 	}
 }
--- a/internal/fleet/seat/drainer.go
+++ b/internal/fleet/seat/drainer.go
@@ -7,14 +7,14 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/discovery"
 	"swiftdeal/internal/fleet/council"
-	"swiftdeal/internal/upstream"
 )
 
 // Drainer stands between discovery and whoever is told of workers: those that the council has drained are told as draining,
 // whatever discovery says of them.
 type Drainer struct {
-	upstream.Events
+	discovery.Events
 	busy func(peers []string, quiet func([]string))
 
 	mu      sync.Mutex
@@ -25,7 +25,7 @@
 }
 
 // NewDrainer returns a Drainer that tells list. busy asks which of the named workers no try of this node is at.
-func NewDrainer(list upstream.Events, busy func(peers []string, quiet func([]string))) *Drainer {
+func NewDrainer(list discovery.Events, busy func(peers []string, quiet func([]string))) *Drainer {
 	return &Drainer{Events: list, busy: busy}
 }
 
--- a/internal/takein/conn.go
+++ b/internal/ingress/conn.go
@@ -1,4 +1,4 @@
-package takein
+package ingress
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"swiftdeal/internal/peek"
+	"swiftdeal/internal/sockread"
 )
 
 // Conn is a client connection that keeps the head of the request in hand as it came. The server drops a
@@ -34,7 +34,7 @@
 	gone  bool           // nobody reads it any more: it goes
 	by    time.Time      // the read deadline that the server has set
 
-	in       peek.Reader
+	in       sockread.Reader
 	socket   bool          // it is read by in
 	linger   time.Duration // for a client to end its sending, when the connection is closed after an answer
 	answered bool          // written to, and not read since: the last answer may be on its way
--- a/internal/takein/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -1,4 +1,4 @@
-package takein
+package ingress
 
 import (
 	"bytes"
--- a/internal/takein/takein.go
+++ b/internal/ingress/ingress.go
@@ -1,6 +1,6 @@
-// Package takein reads a client's request into a request context. With package relay it is all that
+// Package ingress reads a client's request into a request context. With package response it is all that
 // knows the client protocol.
-package takein
+package ingress
 
 import (
 	"errors"
--- a/internal/rules/rules_test.go
+++ b/internal/invariants/invariants_test.go
@@ -1,4 +1,4 @@
-package rules
+package invariants
 
 import (
 	"strings"
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/takein"
+	"swiftdeal/internal/ingress"
 )
 
 // connections keeps count of the client connections, and keeps them within their budget. Connections go on being
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := net.Conn(takein.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack, l.c.limits.Linger))
+	conn := net.Conn(ingress.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack, l.c.limits.Linger))
 	for {
 		l.c.mu.Lock()
 		n := len(l.c.open)
@@ -134,11 +134,11 @@
 var rank = map[http.ConnState]int{http.StateClosed: 0, http.StateNew: 1, http.StateIdle: 2}
 
 // inner returns the connection that the server reads, nil where it is none of ours.
-func inner(conn net.Conn) *takein.Conn {
+func inner(conn net.Conn) *ingress.Conn {
 	if s, ok := conn.(spare); ok {
 		conn = s.Conn
 	}
-	own, _ := conn.(*takein.Conn)
+	own, _ := conn.(*ingress.Conn)
 	return own
 }
 
@@ -187,7 +187,7 @@
 
 // pass has a connection given away while it is idle, and no longer.
 func pass(conn net.Conn, state http.ConnState, give func(net.Conn)) {
-	if own, ok := conn.(*takein.Conn); ok && state == http.StateActive {
+	if own, ok := conn.(*ingress.Conn); ok && state == http.StateActive {
 		own.Keep()
 	} else if ok {
 		own.Give(give)
@@ -232,7 +232,7 @@
 	if s, ok := conn.(spare); ok {
 		ctx, conn = context.WithValue(ctx, spareKey{}, true), s.Conn
 	}
-	return takein.ConnContext(ctx, conn)
+	return ingress.ConnContext(ctx, conn)
 }
 
 // spare reports whether a request came on a spare connection.
@@ -249,7 +249,7 @@
 			wait = max(wait, c.limits.SilentFor)
 		}
 		if s.state != http.StateActive && s.state != http.StateClosed && time.Since(s.since) >= wait {
-			if own, ok := conn.(*takein.Conn); ok {
+			if own, ok := conn.(*ingress.Conn); ok {
 				own.Give(func(c net.Conn) { c.Close() })
 			} else {
 				conn.Close()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"swiftdeal/internal/book"
+	"swiftdeal/internal/accounting"
 	"swiftdeal/internal/control"
 )
 
@@ -127,9 +127,9 @@
 		control.One("gw_reloads_ok", "Configurations taken at SIGHUP.", false, n.reloadsOK.Load()),
 		control.One("gw_reloads_failed", "Configurations turned down at SIGHUP.", false, n.reloadsFailed.Load()),
 	}
-	of := []func(book.Tally) int64{
-		func(t book.Tally) int64 { return t.Served }, func(t book.Tally) int64 { return t.Refused },
-		func(t book.Tally) int64 { return t.Failed }, func(t book.Tally) int64 { return t.Attempts },
+	of := []func(accounting.Tally) int64{
+		func(t accounting.Tally) int64 { return t.Served }, func(t accounting.Tally) int64 { return t.Refused },
+		func(t accounting.Tally) int64 { return t.Failed }, func(t accounting.Tally) int64 { return t.Attempts },
 	}
 	for _, t := range n.book.Tallies() {
 		for i, value := range of {
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // call makes a call at the control address.
@@ -174,13 +174,13 @@
 // busy is an order in which the owner of the Balancer handles nothing while hold is locked.
 type busy struct{ hold *sync.Mutex }
 
-func (b busy) Settle()                                    { b.hold.Lock(); b.hold.Unlock() }
-func (b busy) Owner(func(string) int)                     {}
-func (b busy) Before(machine.Source, machine.Source) bool { return false }
+func (b busy) Settle()                                      { b.hold.Lock(); b.hold.Unlock() }
+func (b busy) Owner(func(string) int)                       {}
+func (b busy) Before(platform.Source, platform.Source) bool { return false }
 
 // Calls are answered while the owner of the Balancer is busy, with requests waiting for it.
 func TestCallsWhileBusy(t *testing.T) {
-	m, hold := machine.Real(), new(sync.Mutex)
+	m, hold := platform.Real(), new(sync.Mutex)
 	m.Order = busy{hold}
 	w := startOn(t, m, nil)
 	w.figures(t, "gw_workers_known 1") // the owner tells it now and then
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 const ask = "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
@@ -113,7 +113,7 @@
 // nothing may take all places that clients have: it still reaches discovery and workers once they are up, and serves.
 func TestStartWithoutDiscovery(t *testing.T) {
 	var up atomic.Bool
-	m := machine.Real()
+	m := platform.Real()
 	real := m.Dial
 	m.Dial = func(ctx context.Context, addr string, wait time.Duration, purpose string) (net.Conn, error) {
 		if strings.HasPrefix(purpose, "/v1/") && !up.Load() {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -11,19 +11,19 @@
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/control"
+	"swiftdeal/internal/discovery"
 	"swiftdeal/internal/fleet/facts"
 	"swiftdeal/internal/fleet/gossip"
 	"swiftdeal/internal/fleet/member"
 	"swiftdeal/internal/fleet/seat"
 	"swiftdeal/internal/fleet/wire"
-	"swiftdeal/internal/machine"
-	"swiftdeal/internal/upstream"
+	"swiftdeal/internal/platform"
 )
 
 // fleet is the node's part in its fleet. All methods may be called on nil: a node without a fleet does nothing there.
 type fleet struct {
 	n   *Node
-	m   machine.Machine
+	m   platform.Machine
 	c   *config.Config
 	log *slog.Logger
 
@@ -55,7 +55,7 @@
 }
 
 // newFleet returns the node's part in the fleet; nil if it has none.
-func newFleet(n *Node, m machine.Machine, c *config.Config, log *slog.Logger) *fleet {
+func newFleet(n *Node, m platform.Machine, c *config.Config, log *slog.Logger) *fleet {
 	if c.Fleet == nil {
 		return nil
 	}
@@ -75,7 +75,7 @@
 }
 
 // between puts what the council drains between discovery and whoever is told of workers.
-func (f *fleet) between(list upstream.Events) upstream.Events {
+func (f *fleet) between(list discovery.Events) discovery.Events {
 	if f == nil || f.c.Fleet.Council == nil {
 		return list
 	}
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -11,9 +11,9 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/handover"
+	"swiftdeal/internal/ingress"
 	"swiftdeal/internal/request"
-	"swiftdeal/internal/send"
-	"swiftdeal/internal/takein"
+	"swiftdeal/internal/transport"
 )
 
 // An open request goes to the process that takes this one's place with both of its connections, and is answered there.
@@ -47,7 +47,7 @@
 // move gives an open request to the other process, if it can go now. last says that its client's connection ends with
 // the answer.
 func (s *succession) move(c *request.Context, from held, last bool) bool {
-	var d *send.Detached
+	var d *transport.Detached
 	m, try, peer, ok := s.n.route.Release(c, func() bool {
 		d = s.n.peers.Detach(c.ID)
 		return d != nil
@@ -117,7 +117,9 @@
 		if admitted {
 			var resume func() func()
 			if w.Peer != "" {
-				resume = func() func() { return s.n.peers.Adopt(c, w.Try, w.Peer, send.Detached{Conn: conns[1], Seen: w.Seen}) }
+				resume = func() func() {
+					return s.n.peers.Adopt(c, w.Try, w.Peer, transport.Detached{Conn: conns[1], Seen: w.Seen})
+				}
 			}
 			s.n.route.Adopt(c, w.State, w.Try, resume)
 		} else if w.Peer != "" {
@@ -152,7 +154,7 @@
 		return
 	}
 	if taken {
-		takein.Linger(client.Conn, n.limits.Linger) // more may have come behind the request
+		ingress.Linger(client.Conn, n.limits.Linger) // more may have come behind the request
 	}
 	client.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,31 +13,31 @@
 	"time"
 
 	"swiftdeal/balance"
-	"swiftdeal/internal/admit"
-	"swiftdeal/internal/book"
+	"swiftdeal/internal/accounting"
+	"swiftdeal/internal/admission"
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/control"
+	"swiftdeal/internal/discovery"
+	"swiftdeal/internal/dispatch"
 	"swiftdeal/internal/handover"
-	"swiftdeal/internal/machine"
-	"swiftdeal/internal/relay"
+	"swiftdeal/internal/ingress"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
-	"swiftdeal/internal/route"
-	"swiftdeal/internal/send"
+	"swiftdeal/internal/response"
 	"swiftdeal/internal/settings"
-	"swiftdeal/internal/takein"
-	"swiftdeal/internal/upstream"
+	"swiftdeal/internal/transport"
 )
 
 // Node is a node that serves.
 type Node struct {
 	limits   config.Limits // but for what changes with settings: see bounds
-	takein   *takein.Stage
-	admit    *admit.Stage
-	route    *route.Stage
-	relay    *relay.Stage
-	book     *book.Stage
+	takein   *ingress.Stage
+	admit    *admission.Stage
+	route    *dispatch.Stage
+	relay    *response.Stage
+	book     *accounting.Stage
 	conns    *connections
-	peers    *send.Stage
+	peers    *transport.Stage
 	memory   func(bytes int64)
 	mu       sync.Mutex
 	timed    config.Limits // limits with what the settings in force make of them
@@ -73,28 +73,28 @@
 
 // Serve runs a node on the listener until the context ends, and then drains it. Each new configuration that
 // comes meanwhile, also while it drains, is put into effect. When it returns, nothing that it has started goes on.
-func Serve(ctx context.Context, m machine.Machine, c *config.Config, d Doors, log *slog.Logger) error {
+func Serve(ctx context.Context, m platform.Machine, c *config.Config, d Doors, log *slog.Logger) error {
 	s := c.Settings.Balance
 	s.MustAsk = true // over sockets no list comes unasked, whatever the settings say of the simulator's
 	viewEvery := c.Limits.ViewEvery
 	if d.Control == nil { // nobody asks
 		viewEvery = 0
 	}
-	r, err := route.New(s, c.Seed, viewEvery, m.Order, log)
+	r, err := dispatch.New(s, c.Seed, viewEvery, m.Order, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	n := &Node{
 		limits: c.Limits, timed: c.Limits, settled: c.Limits, inForce: c.Settings, route: r, conns: newConnections(c.Limits),
-		takein: takein.New(c.Limits), admit: admit.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
-		relay: relay.New(c.Limits), book: book.New(c.Limits, c.Settings.ClassNames(), log), log: log,
+		takein: ingress.New(c.Limits), admit: admission.New(c.Limits, c.Settings.Balance.Classes, r.Vanished),
+		relay: response.New(c.Limits), book: accounting.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
 	n.book.Wanted(c.Settings.Balance.Classes)
 	n.readyBy = time.Now().Add(c.Limits.ReadyWait)
 	n.memory, n.fleet, n.overlay = m.Memory, newFleet(n, m, c, log), newOverlay(c)
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
-	known, list := c.Known, upstream.Events(r)
+	known, list := c.Known, discovery.Events(r)
 	if d.Heirs != nil || d.Prior != nil {
 		roster, doors := &roster{Stage: r}, newEntrance(d.Clients)
 		n.next = &succession{n: n, doors: doors, heirs: d.Heirs, listen: c.Listen, group: roster, links: map[io.Closer]bool{}, going: make(chan struct{})}
@@ -104,7 +104,7 @@
 		known = d.Prior.Group
 	}
 	list = n.fleet.between(list)
-	peers, group := send.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), upstream.New(c.Limits, m.Dial, c.Discovery, known.Version, list)
+	peers, group := transport.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), discovery.New(c.Limits, m.Dial, c.Discovery, known.Version, list)
 	if n.peers = peers; n.next != nil {
 		peers.Movable()
 	}
@@ -229,8 +229,8 @@
 
 // events takes what becomes of tries and probes: to route, and what was written to the books.
 type events struct {
-	*route.Stage
-	book *book.Stage
+	*dispatch.Stage
+	book *accounting.Stage
 }
 
 // Written implements send.Events.
@@ -238,7 +238,7 @@
 
 // ServeHTTP passes one request along the chain.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if takein.Ready(r) {
+	if ingress.Ready(r) {
 		n.ready(w)
 		return
 	}
@@ -257,7 +257,7 @@
 		}
 	}
 	last := spare || r.ContentLength < 0 || r.Close || !r.ProtoAtLeast(1, 1)
-	if !n.await(c, w, nil, r.Context().Done(), takein.Left(r), admitted, last) {
+	if !n.await(c, w, nil, r.Context().Done(), ingress.Left(r), admitted, last) {
 		n.book.Close(c, true)
 		return
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,7 +16,7 @@
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/handover"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // world is a node between a toy peer and a toy discovery, all on loopback.
@@ -36,10 +36,10 @@
 }
 
 func start(t *testing.T, change func(*config.Limits), dir ...string) *world {
-	return startOn(t, machine.Real(), change, dir...)
+	return startOn(t, platform.Real(), change, dir...)
 }
 
-func startOn(t *testing.T, m machine.Machine, change func(*config.Limits), dir ...string) *world {
+func startOn(t *testing.T, m platform.Machine, change func(*config.Limits), dir ...string) *world {
 	return startWith(t, m, func(text string) string { return text }, func(c *config.Config) {
 		if change != nil {
 			change(&c.Limits)
@@ -58,7 +58,7 @@
 }
 
 // startWith starts a node whose file and configuration are changed first.
-func startWith(t *testing.T, m machine.Machine, edit func(text string) string, change func(*config.Config), dir ...string) *world {
+func startWith(t *testing.T, m platform.Machine, edit func(text string) string, change func(*config.Config), dir ...string) *world {
 	w := &world{ended: make(chan error, 1), jobs: make(chan string, 9), left: make(chan struct{}, 9), done: make(chan string, 9), long: make(chan string, 9), reloads: make(chan Reload)}
 	peer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/status/load" {
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -11,8 +11,8 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/dispatch"
 	"swiftdeal/internal/handover"
-	"swiftdeal/internal/route"
 )
 
 // succession is a node's part in replacing its process: first as the new one, then as the old.
@@ -39,7 +39,7 @@
 
 // roster keeps the upstream group as discovery has told it, for the process that comes after this one.
 type roster struct {
-	*route.Stage
+	*dispatch.Stage
 	mu    sync.Mutex
 	group config.Group
 }
--- a/internal/node/replace_test.go
+++ b/internal/node/replace_test.go
@@ -13,7 +13,7 @@
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/handover"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // successor starts a second process of the world's node, in the way of the first: it asks for the listening socket.
@@ -36,7 +36,7 @@
 	w.calls = d.Control.Addr().String()
 	ctx, stop := context.WithCancel(t.Context())
 	ended = make(chan error, 1)
-	go func() { ended <- Serve(ctx, machine.Real(), w.config, d, slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- Serve(ctx, platform.Real(), w.config, d, slog.New(slog.DiscardHandler)) }()
 	for code, _ := w.call(t, "GET", "/-/ready"); code != 200; code, _ = w.call(t, "GET", "/-/ready") {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -14,7 +14,7 @@
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/fleet/council"
 	"swiftdeal/internal/fleet/revision"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 		if i == 2 {
 			edit = obliged
 		}
-		list = append(list, startWith(t, machine.Real(), edit, func(c *config.Config) {
+		list = append(list, startWith(t, platform.Real(), edit, func(c *config.Config) {
 			c.Fleet = &config.Fleet{Name: "test", Member: fmt.Sprint("n", i), Listen: addr, Advertise: addr, Seeds: at, Period: 50 * time.Millisecond, Most: 64, Forget: time.Minute,
 				Council: &config.Council{Seats: []string{"n0", "n1", "n2"}}, Settings: &config.FleetSettings{}}
 			c.Limits.CouncilWait = 0
@@ -274,7 +274,7 @@
 	if n > 0 {
 		t.Errorf("%v allocations", n)
 	}
-	w := startWith(t, machine.Real(), obliged, func(c *config.Config) {
+	w := startWith(t, platform.Real(), obliged, func(c *config.Config) {
 		s, err := net.ListenPacket("udp4", "127.64.0.2:0")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -11,8 +11,8 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/invariants"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/standin"
 )
 
@@ -21,12 +21,12 @@
 	s     *standin.Sockets
 	addr  string
 	start time.Time
-	rules *rules.Checker
-	bad   []rules.Violation
+	rules *invariants.Checker
+	bad   []invariants.Violation
 	ended chan struct{}
 }
 
-func (r *reach) tell(e rules.Event) {
+func (r *reach) tell(e invariants.Event) {
 	e.At = time.Since(r.start)
 	r.bad = append(r.bad, r.rules.Step(e)...)
 }
@@ -34,21 +34,21 @@
 func (r *reach) Node(*standin.Job, int, func(string) bool) string { return "n" }
 func (r *reach) Dial(_ string, _ int, h standin.Opener)           { r.s.Dial(r.addr, h) }
 func (r *reach) Job(peer, id string, _ float64) {
-	r.tell(rules.Event{Kind: rules.Sent, Node: "n", Request: id, Peer: peer, Try: len(id) * 7919})
+	r.tell(invariants.Event{Kind: invariants.Sent, Node: "n", Request: id, Peer: peer, Try: len(id) * 7919})
 }
 func (r *reach) Made(peer, id, result string) {
-	r.tell(rules.Event{Kind: rules.Made, Request: id, Peer: peer, Result: result})
+	r.tell(invariants.Event{Kind: invariants.Made, Request: id, Peer: peer, Result: result})
 }
 func (r *reach) Began(_, id string, until time.Time, _ string) bool {
-	r.tell(rules.Event{Kind: rules.Taken, Node: "n", Request: id, Until: until.Sub(r.start)})
+	r.tell(invariants.Event{Kind: invariants.Taken, Node: "n", Request: id, Until: until.Sub(r.start)})
 	return true
 }
 func (r *reach) Ended(_, id string, status int, body string) {
-	e := rules.Event{Kind: rules.Answered, Node: "n", Request: id, Verdict: rules.Failed, Result: body}
+	e := invariants.Event{Kind: invariants.Answered, Node: "n", Request: id, Verdict: invariants.Failed, Result: body}
 	if status == 200 {
-		e.Verdict = rules.Served
+		e.Verdict = invariants.Served
 	} else if status <= 0 {
-		e.Kind = rules.Dropped
+		e.Kind = invariants.Dropped
 	}
 	r.tell(e)
 	r.ended <- struct{}{}
@@ -60,7 +60,7 @@
 func TestStandinsOnSockets(t *testing.T) {
 	s := standin.NewSockets()
 	r := &reach{s: s, start: time.Now(), ended: make(chan struct{}, 100)}
-	r.rules = rules.New(rules.Config{Classes: []balance.Class{{Effect: balance.Safe}}, AnswerGrace: time.Hour, SecondCopies: true})
+	r.rules = invariants.New(invariants.Config{Classes: []balance.Class{{Effect: balance.Safe}}, AnswerGrace: time.Hour, SecondCopies: true})
 	fleet := standin.NewFleet(s, r, map[string]standin.Class{"job": {}})
 	disco := &standin.Discovery{Clock: s}
 	for i := range 3 {
@@ -68,8 +68,8 @@
 		p.Seed(1)
 		s.Do(func() {
 			p.Start(false)
-			r.tell(rules.Event{Kind: rules.PeerUp, Peer: p.ID, Zone: "a", Cell: "1", Capacity: 8})
-			r.tell(rules.Event{Kind: rules.Told, Node: "n", Peer: p.ID, State: balance.Ready, Zone: "a", Cell: "1"})
+			r.tell(invariants.Event{Kind: invariants.PeerUp, Peer: p.ID, Zone: "a", Cell: "1", Capacity: 8})
+			r.tell(invariants.Event{Kind: invariants.Told, Node: "n", Peer: p.ID, State: balance.Ready, Zone: "a", Cell: "1"})
 		})
 		addr, err := s.Listen(p.Open)
 		if err != nil {
@@ -101,7 +101,7 @@
 	c.Limits.DrainEarly, c.Limits.DrainAccept, c.Limits.DrainIdle = 0, time.Millisecond, time.Millisecond
 	ctx, stop := context.WithCancel(t.Context())
 	over := make(chan error, 1)
-	go func() { over <- Serve(ctx, machine.Real(), c, Doors{Clients: ln}, slog.New(slog.DiscardHandler)) }()
+	go func() { over <- Serve(ctx, platform.Real(), c, Doors{Clients: ln}, slog.New(slog.DiscardHandler)) }()
 	clients := standin.NewClients(s, r, r, 1)
 	shapes := []standin.Shape{standin.Plain, standin.Pieces, standin.Chunked}
 	s.Do(func() {
--- a/internal/machine/machine.go
+++ b/internal/platform/platform.go
@@ -1,7 +1,7 @@
-// Package machine is what a node asks of the machine it runs on beyond the standard library's clocks and timers:
+// Package platform is what a node asks of the machine it runs on beyond the standard library's clocks and timers:
 // connections to other machines, and the order in which things that happen at one instant are handled. The product
 // always runs on Real; a simulation hands in a machine of its own, and the node's code stays the same.
-package machine
+package platform
 
 import (
 	"context"
--- a/internal/proving/field.go
+++ b/internal/proving/field.go
@@ -21,7 +21,7 @@
 	"swiftdeal/balance"
 	"swiftdeal/internal/fleet/accord"
 	"swiftdeal/internal/fleet/gossip"
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/invariants"
 	"swiftdeal/internal/standin"
 )
 
@@ -104,8 +104,8 @@
 	workers []*workerState
 	crowds  []*standin.Clients
 	links   map[[2]int]*linkState // by node and worker; -1 is discovery
-	checker *rules.Checker
-	broken  []rules.Violation
+	checker *invariants.Checker
+	broken  []invariants.Violation
 	tries   int
 	jobs    int
 	arrives string // node from which what a stand-in is told comes
@@ -190,7 +190,7 @@
 	for i := range p.Nodes {
 		f.nodes = append(f.nodes, &node{i: i, site: site(i % p.Sites), bin: opt.Bin})
 	}
-	f.checker = rules.New(rules.Config{
+	f.checker = invariants.New(invariants.Config{
 		Classes: balanceClasses(), AnswerGrace: wide, DrainGrace: time.Hour, WindowSlack: 2 * time.Second, MaxAttempts: 4, SecondCopies: true, Unordered: true,
 	})
 	f.fleet = standin.NewFleet(f.host, f, standinClasses())
@@ -268,7 +268,7 @@
 	f.workers = append(f.workers, s)
 	f.host.Do(func() {
 		p.Start(false)
-		f.tell(rules.Event{Kind: rules.PeerUp, Peer: p.ID, Zone: p.Zone, Cell: p.Cell, Capacity: p.Capacity()})
+		f.tell(invariants.Event{Kind: invariants.PeerUp, Peer: p.ID, Zone: p.Zone, Cell: p.Cell, Capacity: p.Capacity()})
 		f.disco.Set(s.entry)
 	})
 }
--- a/internal/proving/run.go
+++ b/internal/proving/run.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"swiftdeal/internal/fleet/gossip"
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/invariants"
 	"swiftdeal/internal/standin"
 )
 
@@ -558,7 +558,7 @@
 		return
 	}
 	s.p.Stop()
-	f.tell(rules.Event{Kind: rules.PeerDown, Peer: s.p.ID})
+	f.tell(invariants.Event{Kind: invariants.PeerDown, Peer: s.p.ID})
 	for t := range s.conns {
 		t.Reset()
 		delete(s.conns, t)
@@ -574,7 +574,7 @@
 		return
 	}
 	s.p.Start(true)
-	f.tell(rules.Event{Kind: rules.PeerUp, Peer: s.p.ID, Zone: s.p.Zone, Cell: s.p.Cell, Capacity: s.p.Capacity(), Cold: true})
+	f.tell(invariants.Event{Kind: invariants.PeerUp, Peer: s.p.ID, Zone: s.p.Zone, Cell: s.p.Cell, Capacity: s.p.Capacity(), Cold: true})
 	s.fell, s.since = false, nil
 	s.entry.State, s.entry.Started = "in_service", time.Now().UnixMilli()
 	f.disco.Set(s.entry)
--- a/internal/proving/watch.go
+++ b/internal/proving/watch.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/invariants"
 	"swiftdeal/internal/standin"
 )
 
@@ -189,7 +189,7 @@
 			if t.w.p.Warmth() < 1 {
 				f.stats.SentCold++
 			}
-			f.tell(rules.Event{Kind: rules.Sent, Node: f.name(t.node), Request: t.use.id, Peer: t.w.p.ID, Try: t.use.try})
+			f.tell(invariants.Event{Kind: invariants.Sent, Node: f.name(t.node), Request: t.use.id, Peer: t.w.p.ID, Try: t.use.try})
 		}
 	}
 	t.use.text = append(t.use.text, p...)
@@ -203,9 +203,9 @@
 	}
 	whole := standin.Whole(u.text)
 	if byNode && whole {
-		t.f.tell(rules.Event{Kind: rules.Off, Try: u.try})
+		t.f.tell(invariants.Event{Kind: invariants.Off, Try: u.try})
 	} else {
-		t.f.tell(rules.Event{Kind: rules.Ended, Try: u.try, Never: !whole})
+		t.f.tell(invariants.Event{Kind: invariants.Ended, Try: u.try, Never: !whole})
 	}
 }
 
@@ -213,17 +213,17 @@
 func (t *tap) marked(m *standin.Mark) {
 	if u := t.use; m.Ended && u != nil && u.id == m.Request {
 		t.use = nil
-		t.f.tell(rules.Event{Kind: rules.Ended, Try: u.try, Never: m.Never})
+		t.f.tell(invariants.Event{Kind: invariants.Ended, Try: u.try, Never: m.Never})
 	}
 }
 
 // tell hands an event to the checker of the four rules.
-func (f *Field) tell(e rules.Event) {
+func (f *Field) tell(e invariants.Event) {
 	e.At = time.Since(f.start)
 	f.ruled(f.checker.Step(e))
 }
 
-func (f *Field) ruled(list []rules.Violation) {
+func (f *Field) ruled(list []invariants.Violation) {
 	for _, v := range list {
 		f.broken = append(f.broken, v)
 		f.fail(fmt.Sprintf("rule %d", v.Rule), "%s (%s, request %s, workers %v)", v.Text, v.Node, v.Request, v.Peers)
@@ -235,7 +235,7 @@
 	if strings.HasPrefix(id, probeName) {
 		f.probes[id] = true
 	}
-	f.tell(rules.Event{Kind: rules.Arrived, Node: f.arrives, Request: id, Peer: peer, Work: work})
+	f.tell(invariants.Event{Kind: invariants.Arrived, Node: f.arrives, Request: id, Peer: peer, Work: work})
 	for _, s := range f.workers {
 		if s.p.ID == peer {
 			s.falls(f, work)
@@ -270,7 +270,7 @@
 
 // Made implements standin.Watcher.
 func (f *Field) Made(peer, id, result string) {
-	f.tell(rules.Event{Kind: rules.Made, Request: id, Peer: peer, Result: result})
+	f.tell(invariants.Event{Kind: invariants.Made, Request: id, Peer: peer, Result: result})
 }
 
 // Began implements standin.Watcher.
@@ -281,7 +281,7 @@
 			i = k
 		}
 	}
-	f.tell(rules.Event{Kind: rules.Taken, Node: node, Request: id, Class: i, Until: until.Sub(f.start)})
+	f.tell(invariants.Event{Kind: invariants.Taken, Node: node, Request: id, Class: i, Until: until.Sub(f.start)})
 	return true
 }
 
@@ -306,22 +306,22 @@
 
 // Ended implements standin.Watcher.
 func (f *Field) Ended(node, id string, status int, body string) {
-	e := rules.Event{Kind: rules.Answered, Node: node, Request: id, Verdict: rules.Failed}
+	e := invariants.Event{Kind: invariants.Answered, Node: node, Request: id, Verdict: invariants.Failed}
 	switch status {
 	case standin.Cut, standin.CutFirst:
-		e.Kind, e.First = rules.Dropped, status == standin.CutFirst
+		e.Kind, e.First = invariants.Dropped, status == standin.CutFirst
 		if f.disturbed(node) {
-			e.Kind = rules.Left
+			e.Kind = invariants.Left
 		}
 	case standin.Crossed:
-		e.Kind = rules.Left
+		e.Kind = invariants.Left
 	case 200:
-		e.Verdict, e.Result = rules.Served, body
+		e.Verdict, e.Result = invariants.Served, body
 		job, _, _ := strings.Cut(id, "-")
 		f.stats.WorthServed += f.worth[job]
 		delete(f.worth, job)
 	case 429, 503:
-		e.Verdict = rules.Refused
+		e.Verdict = invariants.Refused
 		f.stats.Refused++
 	default:
 		f.stats.Failed++
@@ -332,7 +332,7 @@
 // Left implements standin.Watcher. All clients here wait as long as their class lets them: one that leaves has waited in
 // vain.
 func (f *Field) Left(node, id string) {
-	f.tell(rules.Event{Kind: rules.Left, Node: node, Request: id})
+	f.tell(invariants.Event{Kind: invariants.Left, Node: node, Request: id})
 	if !f.disturbed(node) {
 		f.fail("rule 1", "%s had no answer for %s before its client gave up", node, id)
 	}
--- a/internal/relay/relay.go
+++ b/internal/response/response.go
@@ -1,6 +1,6 @@
-// Package relay words the final answer for the client. With package takein it is all that knows the
+// Package response words the final answer for the client. With package ingress it is all that knows the
 // client protocol.
-package relay
+package response
 
 import (
 	"net/http"
--- a/internal/relay/relay_test.go
+++ b/internal/response/response_test.go
@@ -1,4 +1,4 @@
-package relay
+package response
 
 import (
 	"errors"
--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"swiftdeal/internal/fleet/gossip"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/scale/hollow"
 	"swiftdeal/internal/standin"
 )
@@ -357,8 +357,8 @@
 }
 
 // machine is the one that a hollow node runs on: the real one, but that a cut drops its datagrams.
-func (c *Child) machine(i int) machine.Machine {
-	m := machine.Real()
+func (c *Child) machine(i int) platform.Machine {
+	m := platform.Real()
 	open := m.Datagrams
 	m.Datagrams = func(addr string) (net.PacketConn, error) {
 		sock, err := open(addr)
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -14,6 +14,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/discovery"
 	"swiftdeal/internal/fleet/council"
 	"swiftdeal/internal/fleet/facts"
 	"swiftdeal/internal/fleet/gossip"
@@ -22,13 +23,12 @@
 	"swiftdeal/internal/fleet/rollout"
 	"swiftdeal/internal/fleet/seat"
 	"swiftdeal/internal/fleet/wire"
-	"swiftdeal/internal/machine"
-	"swiftdeal/internal/upstream"
+	"swiftdeal/internal/platform"
 )
 
 // Node is one hollow node.
 type Node struct {
-	m     machine.Machine
+	m     platform.Machine
 	fc    *config.Fleet
 	log   *slog.Logger
 	book  *facts.Book
@@ -40,7 +40,7 @@
 	group config.Group // as discovery has told it
 
 	service  *gossip.Service
-	upstream *upstream.Client
+	upstream *discovery.Client
 	drainer  *seat.Drainer
 	away     atomic.Bool
 	told     atomic.Bool
@@ -69,7 +69,7 @@
 }
 
 // Start starts a node.
-func Start(m machine.Machine, f Files, log *slog.Logger) (*Node, error) {
+func Start(m platform.Machine, f Files, log *slog.Logger) (*Node, error) {
 	c, err := read(f.Config, nil)
 	if err != nil {
 		return nil, err
@@ -81,7 +81,7 @@
 	c.Fleet, c.Program = fc, "0.1.0"
 	n := &Node{m: m, begun: time.Now(), c: c, text: f.Config, fc: fc, log: log.With("node", c.Name), book: facts.New(facts.Defaults(c.Settings.Balance.ColdFor))}
 	n.drainer = seat.NewDrainer(list{n}, func(peers []string, quiet func([]string)) { go quiet(peers) }) // no try is anywhere
-	n.upstream = upstream.New(c.Limits, m.Dial, c.Discovery, 0, n.drainer)
+	n.upstream = discovery.New(c.Limits, m.Dial, c.Discovery, 0, n.drainer)
 	o := gossip.Options{Fleet: fc, Name: c.Name, Clients: c.Listen, Control: c.Control, Program: c.Program, Own: n.own, BindWait: c.Limits.BindWait}
 	if fc.Facts {
 		o.Heard = n.heard
--- a/internal/sim/gossip.go
+++ b/internal/sim/gossip.go
@@ -18,7 +18,7 @@
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/fleet/wire"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/standin"
 )
 
@@ -51,10 +51,10 @@
 }
 
 // machine is what a process runs on.
-func (n *simNode) machine() machine.Machine {
+func (n *simNode) machine() platform.Machine {
 	r := rand.New(rand.NewPCG(n.conf.Seed, 17))
 	n.gossip = &simNode{w: n.w, index: n.index + 1000, life: n.life, turn: make(chan struct{})}
-	return machine.Machine{Dial: n.dial, Order: simOrder{n}, Datagrams: n.datagrams, Random: r.Uint64, Rest: simOrder{n.gossip}.Settle}
+	return platform.Machine{Dial: n.dial, Order: simOrder{n}, Datagrams: n.datagrams, Random: r.Uint64, Rest: simOrder{n.gossip}.Settle}
 }
 
 // socket is a process's for datagrams.
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -23,21 +23,21 @@
 const (
 	balancer  = "balance/balance.go"
 	state     = "balance/state.go"
-	routing   = "internal/route/route.go"
-	exchanges = "internal/send/exchange.go"
-	sending   = "internal/send/send.go"
-	pool      = "internal/send/pool.go"
+	routing   = "internal/dispatch/dispatch.go"
+	exchanges = "internal/transport/exchange.go"
+	sending   = "internal/transport/transport.go"
+	pool      = "internal/transport/pool.go"
 	serving   = "internal/node/node.go"
 	replacing = "internal/node/replace.go"
 	conns     = "internal/node/conns.go"
-	watching  = "internal/upstream/upstream.go"
-	admitting = "internal/admit/admit.go"
+	watching  = "internal/discovery/discovery.go"
+	admitting = "internal/admission/admission.go"
 	group     = "internal/config/group.go"
-	booking   = "internal/book/book.go"
+	booking   = "internal/accounting/accounting.go"
 	calling   = "internal/node/control.go"
 	settling  = "internal/settings/settings.go"
 	moving    = "balance/moved.go"
-	parting   = "internal/send/detach.go"
+	parting   = "internal/transport/detach.go"
 )
 
 // All lists the mutants.
@@ -98,7 +98,7 @@
 		{conns, "if s.state == http.StateActive {\n				continue", "if s.state == http.StateClosed {\n				continue"}}},
 	{"foreign-answer-served", "rule 1, results that no peer made", []Change{{sending, "json.Unmarshal(in.line, &l) != nil || l.ID != id", "json.Unmarshal(in.line, &l) != nil"}}},
 	{"empty-answer-to-one-who-left", "rule 1, a client that gives up as its answer arrives", []Change{
-		{"internal/relay/relay.go", "		panic(http.ErrAbortHandler)\n", "		a.Verdict = request.Served\n"}}},
+		{"internal/response/response.go", "		panic(http.ErrAbortHandler)\n", "		a.Verdict = request.Served\n"}}},
 	{"timer-of-an-earlier-request", "an id that is used again", []Change{
 		{balancer, "&& !r.over && now+b.s.Step >= r.end {", "&& !r.over {"},
 		{routing, "		t.Stop()\n", "		_ = t\n"}}},
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/invariants"
 	"swiftdeal/internal/standin"
 )
 
@@ -31,7 +31,7 @@
 	Figures                 int // nodes whose figures were read and held against their clients
 	Letters                 int // datagrams between nodes
 	Passed, Moved           int // connections of clients, and tries with theirs, that went from one process to another
-	Violations              []rules.Violation
+	Violations              []invariants.Violation
 
 	Fault   string // what broke first, "" if nothing
 	Text    string
@@ -112,7 +112,7 @@
 		w.nodes = append(w.nodes, n)
 		w.settings = append(w.settings, w.config(n))
 	}
-	w.checker = rules.New(w.rules())
+	w.checker = invariants.New(w.rules())
 	w.clients = standin.NewClients(w, w, w, p.Seed)
 	return w
 }
@@ -193,8 +193,8 @@
 
 func ms2(d time.Duration) float64 { return float64(d) / 1e6 }
 
-func (w *World) rules() rules.Config {
-	return rules.Config{
+func (w *World) rules() invariants.Config {
+	return invariants.Config{
 		Classes: w.settings[0].Settings.Balance.Classes, AnswerGrace: slack, DrainGrace: ms(stopWait) + slack, WindowSlack: slack,
 		MaxAttempts: maxAttempts, SecondCopies: w.plan.Copies, ColdFrom: 0.13, ColdFor: w.coldFor(), FallMultiple: 3,
 		FallAfter: ms(3000 * w.plan.Scale), ToldAfter: 6 * time.Second,
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -27,9 +27,9 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/invariants"
 	"swiftdeal/internal/node"
-	"swiftdeal/internal/rules"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/standin"
 )
 
@@ -66,7 +66,7 @@
 	fleet    *standin.Fleet
 	disco    *standin.Discovery
 	clients  *standin.Clients
-	checker  *rules.Checker
+	checker  *invariants.Checker
 	arriving *link
 	classes  map[string]int
 	settings []config.Config
@@ -215,7 +215,7 @@
 }
 
 // Before implements machine.Order.
-func (o simOrder) Before(a, b machine.Source) bool {
+func (o simOrder) Before(a, b platform.Source) bool {
 	x, y := o.rank(a), o.rank(b)
 	if x != y {
 		return x < y
@@ -223,7 +223,7 @@
 	return a.Kind < b.Kind || a.Kind == b.Kind && (a.ID < b.ID || a.ID == b.ID && a.N < b.N)
 }
 
-func (o simOrder) rank(s machine.Source) uint64 {
+func (o simOrder) rank(s platform.Source) uint64 {
 	b := make([]byte, 0, 64)
 	b = binary.LittleEndian.AppendUint64(b, o.n.w.plan.Seed)
 	b = binary.LittleEndian.AppendUint64(b, uint64(o.n.w.now()))
@@ -515,12 +515,12 @@
 }
 
 // tell hands an event to the checker.
-func (w *World) tell(e rules.Event) {
+func (w *World) tell(e invariants.Event) {
 	e.At = w.now()
 	w.broke(w.checker.Step(e))
 }
 
-func (w *World) broke(v []rules.Violation) {
+func (w *World) broke(v []invariants.Violation) {
 	for _, v := range v {
 		w.out.Violations = append(w.out.Violations, v)
 		w.fault(fmt.Sprintf("rule %d", v.Rule), v.Text, v.Node, v.Request, v.Peers...)
@@ -554,7 +554,7 @@
 			if a := l.node.answers; a != nil {
 				a["sent"]++
 			}
-			w.tell(rules.Event{Kind: rules.Sent, Node: l.node.name, Request: l.use.id, Peer: l.machine.name, Try: l.use.try})
+			w.tell(invariants.Event{Kind: invariants.Sent, Node: l.node.name, Request: l.use.id, Peer: l.machine.name, Try: l.use.try})
 		}
 	}
 	l.use.text = append(l.use.text, p...)
@@ -572,9 +572,9 @@
 	}
 	whole := standin.Whole(f.text)
 	if byNode && whole {
-		w.tell(rules.Event{Kind: rules.Off, Try: f.try})
+		w.tell(invariants.Event{Kind: invariants.Off, Try: f.try})
 	} else {
-		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: !whole})
+		w.tell(invariants.Event{Kind: invariants.Ended, Try: f.try, Never: !whole})
 	}
 }
 
@@ -583,7 +583,7 @@
 	l.node.stirred = true
 	if f := l.use; m.Ended && f != nil && f.id == m.Request {
 		l.use = nil
-		w.tell(rules.Event{Kind: rules.Ended, Try: f.try, Never: m.Never})
+		w.tell(invariants.Event{Kind: invariants.Ended, Try: f.try, Never: m.Never})
 		if m.Never {
 			w.out.TurnedAway++
 		}
@@ -614,7 +614,7 @@
 	if e.Started > 0 { // the list counts in whole milliseconds
 		since = time.UnixMilli(e.Started).Sub(w.start) + time.Millisecond
 	}
-	w.tell(rules.Event{Kind: rules.Told, Node: n.name, Peer: e.ID, State: states[e.State], Zone: e.Zone, Cell: fmt.Sprint(e.Cell), Since: since})
+	w.tell(invariants.Event{Kind: invariants.Told, Node: n.name, Peer: e.ID, State: states[e.State], Zone: e.Zone, Cell: fmt.Sprint(e.Cell), Since: since})
 }
 
 // listed tells the checker what discovery's list holds: what is ready, where not all who ask are told.
@@ -637,43 +637,43 @@
 				}
 			}
 		}
-		w.tell(rules.Event{Kind: rules.Listed, Peer: m.name, State: state})
+		w.tell(invariants.Event{Kind: invariants.Listed, Peer: m.name, State: state})
 	}
 }
 
 // Job implements standin.Watcher.
 func (w *World) Job(peer, id string, work float64) {
 	l := w.arriving
-	w.tell(rules.Event{Kind: rules.Arrived, Node: l.node.name, Request: id, Peer: peer, Work: work})
+	w.tell(invariants.Event{Kind: invariants.Arrived, Node: l.node.name, Request: id, Peer: peer, Work: work})
 }
 
 // Made implements standin.Watcher.
 func (w *World) Made(peer, id, result string) {
-	w.tell(rules.Event{Kind: rules.Made, Request: id, Peer: peer, Result: result})
+	w.tell(invariants.Event{Kind: invariants.Made, Request: id, Peer: peer, Result: result})
 }
 
 // Began implements standin.Watcher.
 func (w *World) Began(node, id string, until time.Time, class string) bool {
 	owed := !w.checker.Owed(node, id)
 	w.count(node, id, "taken")
-	w.tell(rules.Event{Kind: rules.Taken, Node: node, Request: id, Class: w.classes[class], Until: until.Sub(w.start)})
+	w.tell(invariants.Event{Kind: invariants.Taken, Node: node, Request: id, Class: w.classes[class], Until: until.Sub(w.start)})
 	return owed
 }
 
 // Ended implements standin.Watcher.
 func (w *World) Ended(node, id string, status int, body string) {
-	e := rules.Event{Kind: rules.Answered, Node: node, Request: id, Verdict: rules.Failed}
+	e := invariants.Event{Kind: invariants.Answered, Node: node, Request: id, Verdict: invariants.Failed}
 	w.count(node, id, answered(status))
 	switch status {
 	case standin.Cut, standin.CutFirst:
-		e.Kind, e.First = rules.Dropped, status == standin.CutFirst
+		e.Kind, e.First = invariants.Dropped, status == standin.CutFirst
 	case standin.Crossed:
-		e.Kind = rules.Left
+		e.Kind = invariants.Left
 	case 200:
-		e.Verdict, e.Result = rules.Served, body
+		e.Verdict, e.Result = invariants.Served, body
 		w.out.Served++
 	case 429, 503:
-		e.Verdict = rules.Refused
+		e.Verdict = invariants.Refused
 		w.out.Refused++
 	default:
 		w.out.Failed++
@@ -714,7 +714,7 @@
 func (w *World) Left(node, id string) {
 	w.trace("the client of %s leaves", id)
 	w.count(node, id, "unseen")
-	w.tell(rules.Event{Kind: rules.Left, Node: node, Request: id})
+	w.tell(invariants.Event{Kind: invariants.Left, Node: node, Request: id})
 }
 
 // Node implements standin.Reach: the front spreads connections over the nodes of the client's zone that are ready.
@@ -892,7 +892,7 @@
 func (w *World) gone(n *simNode, excused time.Duration) {
 	rest := n.rest()
 	if rest == nil { // else the node goes on
-		w.tell(rules.Event{Kind: rules.Killed, Node: n.name, Until: excused})
+		w.tell(invariants.Event{Kind: invariants.Killed, Node: n.name, Until: excused})
 	}
 	w.mu.Lock()
 	n.dead, n.up, n.ready = true, false, false
@@ -972,7 +972,7 @@
 	}
 	w.trace("%s dies", m.name)
 	m.peer.Stop()
-	w.tell(rules.Event{Kind: rules.PeerDown, Peer: m.name})
+	w.tell(invariants.Event{Kind: invariants.PeerDown, Peer: m.name})
 	for _, l := range sortedLinks(m.links) {
 		if !l.farShut {
 			l.farShut = true
@@ -989,8 +989,8 @@
 	}
 	w.trace("%s starts", m.name)
 	m.peer.Start(cold)
-	w.tell(rules.Event{
-		Kind: rules.PeerUp, Peer: m.name, Zone: m.zone, Cell: fmt.Sprint(m.entry.Cell),
+	w.tell(invariants.Event{
+		Kind: invariants.PeerUp, Peer: m.name, Zone: m.zone, Cell: fmt.Sprint(m.entry.Cell),
 		Capacity: m.peer.Capacity(), Cold: cold,
 	})
 }
--- a/internal/send/crossing_test.go
+++ b/internal/transport/crossing_test.go
@@ -1,4 +1,4 @@
-package send
+package transport
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 )
 
@@ -46,7 +46,7 @@
 	s, e = newStage(p.Addr().String(), nil)
 	dials, reads, dialled = newGate(), newGate(), make(chan struct{}, 10)
 	s.pool.hook = reads.pass
-	real := machine.Real().Dial
+	real := platform.Real().Dial
 	s.pool.dial = func(ctx context.Context, addr string, wait time.Duration, purpose string) (net.Conn, error) {
 		c, err := real(context.Background(), addr, wait, purpose)
 		dialled <- struct{}{}
--- a/internal/send/lines.go
+++ b/internal/transport/lines.go
@@ -1,4 +1,4 @@
-package send
+package transport
 
 import (
 	"bytes"
--- a/internal/send/look.go
+++ b/internal/transport/look.go
@@ -1,15 +1,15 @@
-package send
+package transport
 
 import (
 	"net"
 	"sync"
 
-	"swiftdeal/internal/peek"
+	"swiftdeal/internal/sockread"
 )
 
 // look reads a connection to a peer, and knows whether anything has come on it since the last answer.
 type look struct {
-	in   peek.Reader
+	in   sockread.Reader
 	hook func() // for tests: called after each read, before the reader has what was read
 
 	sync.Mutex
--- a/internal/send/pool.go
+++ b/internal/transport/pool.go
@@ -1,4 +1,4 @@
-package send
+package transport
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 )
 
 // errFull says that all the connections that the node may have to peers are in use.
@@ -41,7 +41,7 @@
 type pool struct {
 	limits config.Limits
 	mu     sync.Mutex
-	dial   machine.Dial
+	dial   platform.Dial
 	peers  map[string]config.Peer // those that the list names
 	idle   []*conn                // of all peers, the newest last
 	all    map[*conn]bool
@@ -51,7 +51,7 @@
 	tries  map[string]*exchange // the latest of each request, where they may go to another process; else nil
 }
 
-func newPool(l config.Limits, d machine.Dial) *pool {
+func newPool(l config.Limits, d platform.Dial) *pool {
 	return &pool{limits: l, dial: d, peers: map[string]config.Peer{}, all: map[*conn]bool{}}
 }
 
--- a/internal/send/send.go
+++ b/internal/transport/transport.go
@@ -1,6 +1,6 @@
-// Package send carries tries and probes to peers. It is all that knows the peers' protocol. It decides
+// Package transport carries tries and probes to peers. It is all that knows the peers' protocol. It decides
 // nothing, and sends nothing by itself: each try is written at most once.
-package send
+package transport
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/settings"
 )
@@ -38,7 +38,7 @@
 }
 
 // New returns the stage.
-func New(l config.Limits, s settings.Settings, d machine.Dial, events Events) *Stage {
+func New(l config.Limits, s settings.Settings, d platform.Dial, events Events) *Stage {
 	st := &Stage{limits: l, layout: s.Layout, pool: newPool(l, d), events: events, path: "/health"}
 	if s.Reports {
 		st.path = "/status/load"
--- a/internal/send/send_test.go
+++ b/internal/transport/transport_test.go
@@ -1,4 +1,4 @@
-package send
+package transport
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/machine"
+	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/settings"
 )
@@ -114,7 +114,7 @@
 		change(&l)
 	}
 	e := events{make(chan ended, 10), make(chan balance.NoteKind, 10)}
-	s := New(l, told, machine.Real().Dial, e)
+	s := New(l, told, platform.Real().Dial, e)
 	s.Update(config.Group{Full: true, Peers: []config.Peer{{Addr: addr, Worker: balance.Worker{ID: "p", State: balance.Ready}}}})
 	return s, e
 }
--- a/tools/sim/main.go
+++ b/tools/sim/main.go
@@ -349,8 +349,8 @@
 }
 
 func (c coverer) Run() error {
-	packages := "swiftdeal/internal/admit,swiftdeal/internal/route,swiftdeal/internal/send,swiftdeal/internal/relay," +
-		"swiftdeal/internal/takein,swiftdeal/internal/upstream,swiftdeal/internal/node"
+	packages := "swiftdeal/internal/admission,swiftdeal/internal/dispatch,swiftdeal/internal/transport,swiftdeal/internal/response," +
+		"swiftdeal/internal/ingress,swiftdeal/internal/discovery,swiftdeal/internal/node"
 	bin, remove, err := binary("-cover", "-coverpkg", packages)
 	if err != nil {
 		return err
