Failing tests: an eviction that meets its reader, and accept that fails

TestCrowded hung once in the suite; its stacks show Conn.Evict in poll.FD.Close, which waits for the reader, and the reader in owner.Lock, which Evict holds; the accept loop holds the connections' lock above it, so that the node accepts nothing and closes nothing any more. And by reading: only EMFILE, ENFILE, EINTR and time-outs are temporary to the server's accept loop, Serve returns on any other error, and the process ends. Change: a test that forces the order of the first by the goroutines' states, and one of a real process whose accept4 fails by system-call injection.

--- /dev/null
+++ b/cmd/swiftdeal/syscall_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// injected starts the node with a system call that fails as told, by the tracer's own rule (name:error=E:when=...), and waits
+// until it serves. The process is the node itself: the tracer stands beside it.
+func injected(t *testing.T, rule string) (node *exec.Cmd, at string, log *bufio.Scanner) {
+	t.Helper()
+	disco, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { disco.Close() })
+	path := filepath.Join(t.TempDir(), "config.json")
+	at = free(t)
+	words := strings.Replace(text, `"listen":"127.0.0.1:8080"`, `"listen":"`+at+`"`, 1)
+	words = strings.Replace(words, `"127.0.0.1:1"`, `"`+disco.Addr().String()+`"`, 1)
+	if err := os.WriteFile(path, []byte(words), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	call, _, _ := strings.Cut(rule, ":")
+	node = exec.Command("strace", "-D", "-f", "-qq", "-o", os.DevNull, "-e", "trace="+call, "-e", "inject="+rule, os.Args[0])
+	node.Env = append(os.Environ(), "SWIFTDEAL_TEST_SERVES=1", "GW_CONFIG="+path)
+	out, err := node.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := node.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { node.Process.Kill() })
+	log = bufio.NewScanner(out)
+	for log.Scan() {
+		if strings.Contains(log.Text(), "msg=serving") {
+			return node, at, log
+		}
+	}
+	t.Fatalf("%s: the node does not serve", rule)
+	return nil, "", nil
+}
+
+// Whatever accept fails with, the node goes on: the failure is of one connection, or of the system for a moment.
+func TestAcceptFails(t *testing.T) {
+	for _, failure := range []string{"ENOBUFS", "ENOMEM", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "ENONET", "EPERM", "ECONNABORTED", "ENFILE", "EINTR"} {
+		t.Run(failure, func(t *testing.T) {
+			t.Parallel()
+			node, at, log := injected(t, "accept4:error="+failure+":when=2+3")
+			for i := range 6 {
+				resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + at + "/ready")
+				if err != nil {
+					t.Fatalf("connection %d: %v", i, err)
+				}
+				resp.Body.Close()
+			}
+			node.Process.Signal(syscall.SIGTERM)
+			for log.Scan() {
+			}
+			if err := node.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
--- /dev/null
+++ b/internal/ingress/evict_test.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// onlyFailureReaches is a bound that nothing but a real failure reaches.
+const onlyFailureReaches = 20 * time.Second
+
+// waiting waits until a goroutine is in a state, as its stack words it, in the function named.
+func waiting(t *testing.T, state, function string) {
+	t.Helper()
+	stacks := make([]byte, 1<<20)
+	for end := time.Now().Add(onlyFailureReaches); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, g := range strings.Split(string(stacks[:runtime.Stack(stacks, true)]), "\n\n") {
+			if strings.Contains(g, "["+state) && strings.Contains(g, function) {
+				return
+			}
+		}
+	}
+	t.Fatalf("nothing is in %s in %s", state, function)
+}
+
+// An eviction that comes while the connection's reader has been woken by half a request: neither waits for the other. The
+// system's close waits for the reader, which waits for the connection's lock.
+func TestEvictionMeetsItsReader(t *testing.T) {
+	client, own := pair(t, 0)
+	read := make(chan error, 1)
+	go func() {
+		var err error
+		for b := make([]byte, 4096); err == nil; {
+			_, err = own.Read(b)
+		}
+		read <- err
+	}()
+	waiting(t, "IO wait", "(*Conn).Read")
+	own.mu.Lock()
+	evicted := make(chan bool, 1)
+	go func() { evicted <- own.Evict() }()
+	waiting(t, "sync.Mutex.Lock", "(*Conn).Evict") // it is first in turn
+	if _, err := client.Write([]byte("POST /job HT")); err != nil {
+		t.Fatal(err)
+	}
+	waiting(t, "sync.Mutex.Lock", "(*owner).Lock")
+	own.mu.Unlock()
+	bound := time.After(onlyFailureReaches)
+	select {
+	case gone := <-evicted:
+		if !gone {
+			t.Error("not evicted")
+		}
+	case <-bound:
+		t.Fatal("the eviction waits for the reader, which waits for the eviction")
+	}
+	select {
+	case <-read:
+	case <-bound:
+		t.Fatal("the reader does not end")
+	}
+}
