An eviction closes its connection without the lock that the reader waits for

Cause: Conn.Evict called net.Conn.Close under Conn.mu; Close returns only once a read under way has ended, and that read waits for Conn.mu in owner.Lock. connections.evict holds the lock of all connections above it, so one such crossing stopped accept, state changes and idle closes for good. Change: the mark is set under the lock, the close follows without it; what is read after the mark is dropped, so that nothing of an evicted connection is served.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -123,13 +123,22 @@
 // Evict closes the connection, unless a request has been read from it: that one is answered. What the system still holds is
 // not read any more, and never sent on.
 func (c *Conn) Evict() bool {
+	if !c.evict() {
+		return false
+	}
+	// Not under the lock: the system's close waits for a read under way, and that read for the lock.
+	c.Conn.Close()
+	return true
+}
+
+// evict marks the connection as evicted, unless a request has been read from it. What is read from then on is dropped.
+func (c *Conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if endOfHead(c.head) >= 0 || c.skip > 0 || c.gone {
 		return false
 	}
 	c.evicted = true
-	c.Conn.Close()
 	return true
 }
 
@@ -230,6 +239,17 @@
 }
 
 func (c *Conn) read(p []byte) (int, error) {
+	n, err := c.readSystem(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted { // a request that was read since is not answered, and so not served either
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// readSystem reads what the system holds.
+func (c *Conn) readSystem(p []byte) (int, error) {
 	if c.socket {
 		return c.in.Read(p)
 	}
