Accept goes on through every failure that is not the listener's own

Cause: net/http's Serve returns on any error of accept that is not EINTR, EMFILE, ENFILE or a time-out, node.Serve returns with it, and the process ends with all that is open. The same at the control address, at the socket where a successor comes (one failure and the process can never be replaced), and in the entrance. On EMFILE the server pauses up to 1 s, longer than some deadlines. What may have waited in the queue meanwhile counts its client's time from then.

--- a/cmd/swiftdeal/syscall_test.go
+++ b/cmd/swiftdeal/syscall_test.go
@@ -40,12 +40,14 @@
 	}
 	t.Cleanup(func() { node.Process.Kill() })
 	log = bufio.NewScanner(out)
+	said := ""
 	for log.Scan() {
 		if strings.Contains(log.Text(), "msg=serving") {
 			return node, at, log
 		}
+		said += log.Text() + "\n"
 	}
-	t.Fatalf("%s: the node does not serve", rule)
+	t.Fatalf("%s: the node does not serve: %s", rule, said)
 	return nil, "", nil
 }
 
@@ -53,7 +55,6 @@
 func TestAcceptFails(t *testing.T) {
 	for _, failure := range []string{"ENOBUFS", "ENOMEM", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "ENONET", "EPERM", "ECONNABORTED", "ENFILE", "EINTR"} {
 		t.Run(failure, func(t *testing.T) {
-			t.Parallel()
 			node, at, log := injected(t, "accept4:error="+failure+":when=2+3")
 			for i := range 6 {
 				resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + at + "/ready")
@@ -71,4 +72,3 @@
 		})
 	}
 }
-
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/listen"
 )
 
 // Calls is what the calls ask of the node. They come from many goroutines at once and must not wait for anything
@@ -91,7 +92,7 @@
 
 // Serve answers calls until Close.
 func (s *Server) Serve(ln net.Listener) error {
-	if err := s.srv.Serve(listener{ln, s}); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.srv.Serve(listener{listen.New(ln, nil), s}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/handover/unix.go
+++ b/internal/handover/unix.go
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
+
+	"swiftdeal/internal/listen"
 )
 
 // longest is the most bytes of a Unix socket's path.
@@ -192,7 +194,7 @@
 
 // unixHeirs is the socket that other processes come to.
 type unixHeirs struct {
-	ln    *net.UnixListener
+	ln    *listen.Listener
 	path  string // where they look
 	own   string // the same socket under a name of its own
 	wait  time.Duration
@@ -200,8 +202,8 @@
 }
 
 // Listen makes the socket that processes come to that want to take over from this one. Until Open they do not find it.
-func Listen(dir, listen string, wait time.Duration) (Heirs, error) {
-	path, err := folder(dir, listen)
+func Listen(dir, address string, wait time.Duration) (Heirs, error) {
+	path, err := folder(dir, address)
 	if err != nil {
 		return nil, err
 	}
@@ -211,8 +213,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h.ln = ln.(*net.UnixListener)
-	h.ln.SetUnlinkOnClose(false)
+	ln.(*net.UnixListener).SetUnlinkOnClose(false)
+	h.ln = listen.New(ln, nil)
 	if err = os.Chmod(h.own, 0o600); err == nil {
 		h.known, err = os.Lstat(h.own)
 	}
@@ -229,11 +231,11 @@
 // Accept implements Heirs.
 func (h *unixHeirs) Accept() (Link, error) {
 	for {
-		c, err := h.ln.AcceptUnix()
+		c, err := h.ln.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if l, err := newLink(c, h.wait); err == nil {
+		if l, err := newLink(c.(*net.UnixConn), h.wait); err == nil {
 			return l, nil
 		}
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -43,6 +43,8 @@
 	ahead    *ahead        // reads what follows a request that is open; nil: nobody does
 	over     func()        // told when a lingering close is over
 	lingers  bool
+
+	waited time.Duration // before it was accepted, at most; counted for its first request alone
 }
 
 // NewConn wraps a client connection. A head of up to most bytes is kept, and after an answer the client has for so long as
@@ -53,6 +55,23 @@
 	return own
 }
 
+// Waited says how long the connection may have waited before it was accepted: its first request may have come as long ago.
+func (c *Conn) Waited(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waited = d
+}
+
+// sinceSent is how much earlier than it was read a request may have come. It is asked for once for each request.
+func sinceSent(r *http.Request) (d time.Duration) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		d, c.waited = c.waited, 0
+	}
+	return d
+}
+
 // owner is a Conn as its reader has it.
 type owner Conn
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,6 +54,7 @@
 	// Guards against a body that never comes: neither its reader here nor the server, which reads on after an
 	// answer, may wait for it for ever.
 	ctl.SetReadDeadline(c.Arrived.Add(s.limits.BodyWait))
+	c.Arrived = c.Arrived.Add(-sinceSent(r)) // its client's time has run since
 	if ambiguous(r) {
 		return malformed("Content-Length beside Transfer-Encoding, or a head that cannot be made out")
 	}
--- /dev/null
+++ b/internal/listen/listen_test.go
@@ -0,0 +1,108 @@
+package listen
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// script is a listener whose calls of accept end as it says, one after the other; the last one waits until it is closed.
+type script struct {
+	ends   []end
+	closed chan struct{}
+}
+
+// end is how a call of accept ends.
+type end struct {
+	after time.Duration
+	err   error
+}
+
+func (s *script) Accept() (net.Conn, error) {
+	if len(s.ends) == 0 {
+		<-s.closed
+		return nil, net.ErrClosed
+	}
+	e := s.ends[0]
+	s.ends = s.ends[1:]
+	time.Sleep(e.after)
+	if e.err != nil {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", e.err)}
+	}
+	ours, _ := net.Pipe()
+	return ours, nil
+}
+func (s *script) Close() error   { close(s.closed); return nil }
+func (s *script) Addr() net.Addr { return nil }
+
+// Failures of accept are passed over, each is told, and a connection after them may have waited since the first.
+func TestPassesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []error
+		s := &script{closed: make(chan struct{})}
+		for range 10 {
+			s.ends = append(s.ends, end{err: syscall.ENOBUFS})
+		}
+		s.ends = append(s.ends, end{}, end{}, end{after: time.Second})
+		l := New(s, func(err error) { told = append(told, err) })
+		start := time.Now()
+		for i, most := range []time.Duration{time.Hour, time.Hour, 0} {
+			if _, err := l.Accept(); err != nil {
+				t.Fatal(err)
+			}
+			if want := min(time.Since(start), most); l.Waited() != want {
+				t.Errorf("connection %d waited %v, want %v", i, l.Waited(), want)
+			}
+		}
+		if took := time.Since(start) - time.Second; took > 10*longPause || len(told) != 10 || l.Failures() != 10 || !errors.Is(told[9], syscall.ENOBUFS) {
+			t.Errorf("after %v, %d failures told: %v", took, len(told), told)
+		}
+	})
+}
+
+// Who accepts may be held up itself: what came meanwhile has waited. Once accepting has gone on for as long, nothing has.
+func TestHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{ends: []end{{}, {}, {after: time.Millisecond}, {after: time.Millisecond}}, closed: make(chan struct{})}
+		l := New(s, nil)
+		l.Accept()
+		time.Sleep(blocks)
+		for _, want := range []time.Duration{blocks, blocks + time.Millisecond, blocks + 2*time.Millisecond} {
+			if l.Accept(); l.Waited() != want {
+				t.Errorf("waited %v, want %v", l.Waited(), want)
+			}
+		}
+		for range 5 {
+			s.ends = append(s.ends, end{after: time.Millisecond})
+			l.Accept()
+		}
+		if l.Waited() != 0 {
+			t.Errorf("waited %v long after", l.Waited())
+		}
+	})
+}
+
+// A listener that is closed, or is none, ends the calls at once; so does Close in a pause.
+func TestPermanent(t *testing.T) {
+	for _, err := range []error{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
+		l := New(&script{ends: []end{{err: err}}}, nil)
+		if _, got := l.Accept(); !errors.Is(got, err) {
+			t.Errorf("%v, want %v", got, err)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{closed: make(chan struct{})}
+		l := New(s, nil)
+		ended := make(chan error, 1)
+		go func() { _, err := l.Accept(); ended <- err }()
+		synctest.Wait()
+		l.Close()
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -52,12 +52,21 @@
 // answer.
 type spare struct{ net.Conn }
 
+// waiting is a listener that knows how long a connection may have waited in the system's queue.
+type waiting interface{ Waited() time.Duration }
+
+// Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	conn := net.Conn(ingress.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack, l.c.limits.Linger))
+	own := ingress.NewConn(raw, l.c.limits.HeaderBytes+l.c.limits.HeadSlack, l.c.limits.Linger)
+	conn := net.Conn(own)
+	accepted, waited := time.Now(), time.Duration(0)
+	if w, ok := l.Listener.(waiting); ok {
+		waited = w.Waited()
+	}
 	for {
 		l.c.mu.Lock()
 		n := len(l.c.open)
@@ -75,6 +84,7 @@
 				pass(conn, http.StateNew, l.c.give)
 			}
 			l.c.mu.Unlock()
+			own.Waited(waited + time.Since(accepted))
 			return conn, nil
 		}
 		l.c.mu.Unlock()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -124,6 +124,7 @@
 		control.One("gw_in_flight", "Jobs taken and not ended.", true, int64(n.admit.Open())),
 		control.One("gw_workers_known", "Workers in the list.", true, known),
 		control.One("gw_workers_excluded", "Listed workers that no job is sent to at present.", true, excluded),
+		control.One("gw_accept_failures", "Calls of accept that failed and were made again.", false, n.acceptFailures.Load()),
 		control.One("gw_reloads_ok", "Configurations taken at SIGHUP.", false, n.reloadsOK.Load()),
 		control.One("gw_reloads_failed", "Configurations turned down at SIGHUP.", false, n.reloadsFailed.Load()),
 	}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -155,7 +155,7 @@
 // Out of descriptors, the entrance goes on accepting; any other failure ends it.
 func TestEntranceOutOfDescriptors(t *testing.T) {
 	s := &short{fails: 5}
-	e := newEntrance(s)
+	e := newEntrance(s, nil)
 	if _, err := e.Accept(); err == nil || err.Error() != "closed" || s.fails != -1 {
 		t.Errorf("%v, after %d more", err, s.fails)
 	}
--- a/internal/node/entrance.go
+++ b/internal/node/entrance.go
@@ -6,23 +6,35 @@
 	"os"
 	"sync"
 	"time"
+
+	"swiftdeal/internal/listen"
 )
 
 // entrance is a listener that can be shut for a while without closing its socket, which another process shares, and
 // that takes connections that come otherwise.
 type entrance struct {
 	net.Listener
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
+	accepts *listen.Listener // accepts from the socket
+	conns   chan arrival
+	done    chan struct{}
+	once    sync.Once
+	waited  time.Duration // by the connection that Accept returned last; its caller's own
 
 	mu   sync.Mutex
 	open chan struct{} // closed while the entrance is open
 	err  error         // of the socket
 }
 
-func newEntrance(ln net.Listener) *entrance {
-	e := &entrance{Listener: ln, conns: make(chan net.Conn), done: make(chan struct{}), open: make(chan struct{})}
+// arrival is a connection on its way to whoever accepts.
+type arrival struct {
+	net.Conn
+	waited time.Duration // in the system's queue, at most
+	at     time.Time     // when it left that
+}
+
+// newEntrance opens an entrance. failed is told of each failure of accept that is passed over.
+func newEntrance(ln net.Listener, failed func(error)) *entrance {
+	e := &entrance{Listener: ln, accepts: listen.New(ln, failed), conns: make(chan arrival), done: make(chan struct{}), open: make(chan struct{})}
 	close(e.open)
 	go e.take()
 	return e
@@ -30,7 +42,7 @@
 
 // take accepts from the socket until that fails.
 func (e *entrance) take() {
-	for pause := time.Duration(0); ; {
+	for {
 		e.mu.Lock()
 		open := e.open
 		e.mu.Unlock()
@@ -39,21 +51,10 @@
 		case <-e.done:
 			return
 		}
-		c, err := e.Listener.Accept()
+		c, err := e.accepts.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue // shut
 		}
-		if isTemporary(err) { // descriptors are short: some will be free, and the listener must not end
-			pause = min(max(2*pause, 5*time.Millisecond), time.Second)
-			timer := time.NewTimer(pause)
-			select {
-			case <-timer.C:
-			case <-e.done:
-			}
-			timer.Stop()
-			continue
-		}
-		pause = 0
 		if err != nil {
 			e.mu.Lock()
 			e.err = err
@@ -61,25 +62,24 @@
 			e.once.Do(func() { close(e.done) })
 			return
 		}
-		e.bring(c)
+		e.offer(arrival{c, e.accepts.Waited(), time.Now()})
 	}
 }
 
-// isTemporary reports whether accepting may succeed later, as net/http has it for its own listeners.
-func isTemporary(err error) bool {
-	var t interface{ Temporary() bool }
-	return errors.As(err, &t) && t.Temporary()
-}
-
 // bring hands over a connection that did not come by the socket. It waits until it is accepted.
-func (e *entrance) bring(c net.Conn) {
+func (e *entrance) bring(c net.Conn) { e.offer(arrival{c, 0, time.Now()}) }
+
+func (e *entrance) offer(a arrival) {
 	select {
-	case e.conns <- c:
+	case e.conns <- a:
 	case <-e.done:
-		c.Close()
+		a.Close()
 	}
 }
 
+// Waited is how long the connection that Accept returned last may have waited before. The goroutine that accepts may call it.
+func (e *entrance) Waited() time.Duration { return e.waited }
+
 // shut stops taking connections from the socket, or goes on with it.
 func (e *entrance) shut(yes bool) {
 	e.mu.Lock()
@@ -106,8 +106,9 @@
 // Accept implements net.Listener.
 func (e *entrance) Accept() (net.Conn, error) {
 	select {
-	case c := <-e.conns:
-		return c, nil
+	case a := <-e.conns:
+		e.waited = a.waited + time.Since(a.at)
+		return a.Conn, nil
 	case <-e.done:
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -121,5 +122,5 @@
 // Close implements net.Listener.
 func (e *entrance) Close() error {
 	e.once.Do(func() { close(e.done) })
-	return e.Listener.Close()
+	return e.accepts.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"swiftdeal/internal/dispatch"
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/ingress"
+	"swiftdeal/internal/listen"
 	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/response"
@@ -54,6 +55,7 @@
 	serving                  atomic.Bool // clients' connections are accepted
 	readyBy                  time.Time   // from then on clients are taken without an upstream group too
 	reloadsOK, reloadsFailed atomic.Int64
+	acceptFailures           atomic.Int64
 }
 
 // Doors is where a node is spoken to.
@@ -96,10 +98,13 @@
 	defer stop()
 	known, list := c.Known, discovery.Events(r)
 	if d.Heirs != nil || d.Prior != nil {
-		roster, doors := &roster{Stage: r}, newEntrance(d.Clients)
+		roster, doors := &roster{Stage: r}, newEntrance(d.Clients, n.acceptFailed)
 		n.next = &succession{n: n, doors: doors, heirs: d.Heirs, listen: c.Listen, group: roster, links: map[io.Closer]bool{}, going: make(chan struct{})}
 		list, d.Clients = roster, doors
 	}
+	if n.next == nil {
+		d.Clients = listen.New(d.Clients, n.acceptFailed)
+	}
 	if d.Prior != nil && d.Prior.Group.Version >= known.Version {
 		known = d.Prior.Group
 	}
@@ -156,6 +161,13 @@
 	return nil
 }
 
+// acceptFailed takes a failure of accept that was passed over.
+func (n *Node) acceptFailed(err error) {
+	if n.acceptFailures.Add(1) == 1 { // the figures tell of the others
+		n.log.Warn("accept failed, and is called again", "error", err)
+	}
+}
+
 // reload puts new configurations into effect, one after the other: files read again, and revisions of the fleet's settings.
 func (n *Node) reload(ctx context.Context, c *config.Config, reloads <-chan Reload) {
 	for {
