Failing tests: bytes of a next head, a request ended before it is accepted, ETIMEDOUT

The server waits for four bytes of a next request under the time for resting connections (5 minutes), where a client that stops is owed an end within 3 s. Where the deadline timer ends a request before its acceptance is handled (a drain cuts deadlines short), the decisions get it after its end: each attempt comes back unsent at once and the next follows, round and round where attempts have no limit. os.IsTimeout holds for ETIMEDOUT, so that a handed-over client that breaks so is never seen to leave.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -33,9 +33,12 @@
 }
 
 // start returns a stage that knows one peer without reports.
-func start(t *testing.T) (*Stage, host) {
+func start(t *testing.T) (*Stage, host) { return startWith(t, 4) }
+
+// startWith returns the same with a limit of attempts; 0: none.
+func startWith(t *testing.T, maxAttempts int) (*Stage, host) {
 	r, err := New(balance.Settings{
-		MayCancel: true, MustAsk: true, MaxAttempts: 4, DialTimeout: time.Second,
+		MayCancel: true, MustAsk: true, MaxAttempts: maxAttempts, DialTimeout: time.Second,
 		Classes: []balance.Class{{Name: "job", Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1}},
 	}, 1, 0, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -250,3 +253,25 @@
 		t.Errorf("%s, %v allocations an event, room for %d kept", got, n, cap(m.spare))
 	}
 }
+
+// The deadline timer may answer a request before its acceptance has reached the decisions: nothing is tried for it then, and its
+// id is free.
+func TestEndedBeforeAccepted(t *testing.T) {
+	r, h := startWith(t, 0)
+	c := admitted("a")
+	c.Finish(request.Answer{Verdict: request.Failed})
+	r.Vanished(c)
+	r.Accept(c)
+	again := admitted("a")
+	r.Accept(again)
+	select {
+	case got := <-h.asked:
+		if got != "try a0 p" {
+			t.Errorf("asked to %q", got)
+		}
+	case <-again.Ended():
+		t.Errorf("answered with %+v", again.Answer())
+	case <-time.After(5 * time.Second): // only a real failure reaches it
+		t.Error("the events of the ended request go round and round")
+	}
+}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -205,3 +206,51 @@
 		t.Error(err)
 	}
 }
+
+// A client that sends the first bytes of its next request on a kept connection and stays is closed in the time for a head, not in
+// that for resting connections.
+func TestFirstBytesOfTheNextHead(t *testing.T) {
+	for _, bytes := range []string{"P", "POS", "POST /job HT"} {
+		w := start(t, func(l *config.Limits) { l.HeadWait, l.IdleWait = 20*time.Millisecond, time.Hour })
+		c := w.dial(t)
+		w.done <- "result"
+		fmt.Fprintf(c, ask, "a")
+		<-w.jobs
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		c.Write([]byte(bytes))
+		c.SetReadDeadline(time.Now().Add(20 * time.Second)) // only a real failure reaches it
+		if text, err := io.ReadAll(in); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%q: %q and %v, want an error or the end of the connection", bytes, text, err)
+		}
+	}
+}
+
+// broken is a connection whose reads fail.
+type broken struct {
+	net.Conn
+	err error
+}
+
+func (b broken) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", b.err)}
+}
+
+// The client of a request that was handed over has left however its connection has ended: ETIMEDOUT, which calls itself a
+// time-out, is no end of a wait.
+func TestCarriedClientBreaks(t *testing.T) {
+	for _, number := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPIPE} {
+		c := &carried{Conn: broken{err: number}}
+		c.watch()
+		<-c.over
+		select {
+		case <-c.left:
+		default:
+			t.Errorf("%v: the client is taken to be there", number)
+		}
+	}
+}
