A request that was ended before its acceptance is handled is not tried

Cause: the deadline timer's news of the end (Vanished) can stand before the acceptance in the event queue; it found no request, and the acceptance that followed gave the decisions one that had ended. Change: dispatch.Accept looks whether the request has ended. Result: TestEndedBeforeAccepted passes; before, the events went round at full speed until the request's patience ended.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,6 +148,11 @@
 			c.Finish(request.Answer{Verdict: request.Malformed, Reason: "X-Request-Id: in use by an open request"})
 			return
 		}
+		select {
+		case <-c.Ended(): // guards against attempts for nobody: the news of its end has come first, and comes no more
+			return
+		default:
+		}
 		r.open[c.ID] = &entry{c: c}
 		r.b.Accept(r.now(), c.Request)
 	})
