A handed-over client whose connection ends in ETIMEDOUT has left

Cause: carried.watch asked os.IsTimeout, which holds for the system's ETIMEDOUT as for a deadline of our own. Change: only os.ErrDeadlineExceeded is the end of a wait. The same question elsewhere (ingress, listen, transport) is asked so already. Result: TestCarriedClientBreaks passes.

--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -179,7 +179,7 @@
 			n, err := c.Read(b)
 			// Whoever sends too much is taken to have left, as with connections that the server holds.
 			if c.ahead = append(c.ahead, b[:n]...); err != nil || len(c.ahead) > mostAhead {
-				if err == nil || !os.IsTimeout(err) {
+				if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 					close(c.left)
 				}
 				return
