A head that begins on a resting connection has the time for a head, from its first byte

Cause: the server waits for the first four bytes of a next request under its idle time-out (5 minutes) and winds the clock for heads only then: a client that sent one to three bytes and stayed held its place for five minutes, and held up drains, which spare connections with a head in hand. Change: ingress.Conn winds that clock itself at the first byte behind an answer.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -45,6 +45,10 @@
 	lingers  bool
 
 	waited time.Duration // before it was accepted, at most; counted for its first request alone
+
+	headWait time.Duration // for the rest of a head, from its first bytes; 0: as the server has it
+	resting  bool          // between two requests
+	headBy   time.Time     // the rest of the head that has begun there must have come by then; zero: none has begun
 }
 
 // NewConn wraps a client connection. A head of up to most bytes is kept, and after an answer the client has for so long as
@@ -88,6 +92,7 @@
 	c.skip -= over
 	p = p[over:]
 	c.head = append(c.head, p[:min(len(p), max(c.most-len(c.head), 0))]...)
+	c.beginHead()
 }
 
 // Give has a connection that is idle given away as soon as nothing of a request has come: the server then finds it at
@@ -110,14 +115,44 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. Where a head has begun behind the last answer, the deadline is no later than its own:
+// the server waits for a head's first four bytes as long as for a connection that rests.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.headBy.IsZero() && (t.IsZero() || c.headBy.Before(t)) {
+		t = c.headBy
+	}
 	c.by, c.woken = t, false
 	return c.Conn.SetReadDeadline(t)
 }
 
+// HeadWait sets how long the rest of a head may take on a connection that has rested, from the head's first bytes.
+func (c *Conn) HeadWait(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headWait = d
+}
+
+// Rests says that the last answer has been given and the next request may come.
+func (c *Conn) Rests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resting = true
+	c.beginHead()
+}
+
+// beginHead winds the clock for a head's rest if its first bytes are in hand; mu is held.
+func (c *Conn) beginHead() {
+	if c.resting && c.headWait > 0 && c.headBy.IsZero() && len(c.head) > 0 {
+		c.headBy = time.Now().Add(c.headWait)
+		if c.by.IsZero() || c.headBy.Before(c.by) {
+			c.by = c.headBy
+			c.Conn.SetReadDeadline(c.by)
+		}
+	}
+}
+
 // leaves reports whether the connection goes instead of being read: no byte of a request is in hand.
 func (c *Conn) leaves() bool {
 	c.mu.Lock()
@@ -293,7 +328,11 @@
 func (c *Conn) take(body int64) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = false // a request begins
+	c.answered, c.resting = false, false // a request begins
+	if !c.headBy.IsZero() {
+		c.headBy, c.by = time.Time{}, time.Time{}
+		c.Conn.SetReadDeadline(c.by)
+	}
 	end := endOfHead(c.head)
 	if c.lost = c.lost || end < 0; c.lost {
 		c.head = nil
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -85,6 +85,7 @@
 			}
 			l.c.mu.Unlock()
 			own.Waited(waited + time.Since(accepted))
+			own.HeadWait(l.c.limits.HeadWait)
 			return conn, nil
 		}
 		l.c.mu.Unlock()
@@ -172,6 +173,9 @@
 		return
 	default:
 		c.open[conn] = stand{state, time.Now(), s.nth}
+		if own := inner(conn); own != nil && state == http.StateIdle {
+			own.Rests()
+		}
 		if state == http.StateActive || c.give != nil {
 			pass(conn, state, c.give)
 		}
