--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -48,6 +48,12 @@
 	Why string // it is not in force; empty: it is
 }
 
+// store keeps what the seat has promised.
+type store interface {
+	Save(*accord.Saved) error
+	Close() error
+}
+
 // Config is what a Seat is made with.
 type Config struct {
 	Fleet    *config.Fleet // it has a council
@@ -65,7 +71,7 @@
 	c       Config
 	host    Host
 	core    *council.Core
-	store   *disk.Store
+	store   store // nil: what is promised lasts as long as the process
 	log     *slog.Logger
 	viewed  time.Duration
 	owned   time.Duration
@@ -83,10 +89,11 @@
 	s := &Seat{c: c, host: host, log: log, viewed: -time.Hour, owned: -time.Hour, waiting: map[uint64]chan<- council.Result{}}
 	var saved *accord.Saved
 	if t.Dir != "" && t.Has(c.Name) {
-		var err error
-		if s.store, saved, err = disk.Open(t.Dir, c.Name, c.BindWait); err != nil {
+		file, kept, err := disk.Open(t.Dir, c.Name, c.BindWait)
+		if err != nil {
 			return nil, err
 		}
+		s.store, saved = file, kept
 	}
 	var err error
 	s.core, err = council.New(council.Config{Name: c.Name, Site: c.Fleet.Site, Version: c.Program, Life: c.Life, ID: c.Random() | 1, Seats: t.Seats, Spares: t.Spares, Absent: t.Absent,
