A seat whose disk fails for a while is silent, tries again, and forgets nothing

Cause: on the first error of Save the seat gave up its part in the group for good, so that one ENOSPC on a disk that seats share loses all permits, releases and settings. And Store.Save changed its record of the file inside the transaction: after a commit that failed, the next call took the new group for written and left the earlier one's vote in place. Change: what cannot be saved stands in a queue and is tried again every 250 ms; nothing that follows goes out, datagrams are dropped meanwhile as on any way. The store takes a change over once it is committed, and after a failed commit writes all that is kept anew.

--- a/internal/fleet/accord/disk/disk.go
+++ b/internal/fleet/accord/disk/disk.go
@@ -53,8 +53,10 @@
 
 // Store is an open file.
 type Store struct {
-	db *bbolt.DB
-	g  group
+	db    *bbolt.DB
+	g     group         // as the file has it
+	whole *accord.Saved // all that the file holds
+	doubt bool          // a commit has failed: what of it has reached the disk is not known
 }
 
 // sealed puts a checksum before a value.
@@ -101,6 +103,9 @@
 		db.Close()
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if s.whole = saved; saved == nil {
+		s.whole = &accord.Saved{}
+	}
 	return s, saved, nil
 }
 
@@ -176,7 +181,7 @@
 		return nil, err
 	}
 	for i := s.g.First; i <= s.g.Last && i > 0; i++ {
-		key := binary.BigEndian.AppendUint64(nil, i)
+		key := index(i)
 		b, err := opened(key, log.Get(key))
 		e := new(raftpb.Entry)
 		if err != nil || proto.Unmarshal(b, e) != nil || e.GetIndex() != i {
@@ -187,81 +192,126 @@
 	return saved, nil
 }
 
-// Save makes something last. When it returns without an error it is on the disk.
+// Save makes something last. When it returns without an error it is on the disk. After an error nothing of it counts as saved,
+// and the next call writes all that is kept anew: of the pages of a commit that has failed nobody knows which ones are on the
+// disk.
 func (s *Store) Save(n *accord.Saved) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
-		g := s.g
-		if n.Group != g.Group || n.ID != g.ID { // another part in another group: nothing of the earlier one is kept
-			g = group{}
-			for _, k := range [][]byte{keyHard, keySnap} {
-				if err := meta.Delete(k); err != nil {
-					return err
-				}
-			}
-			if err := tx.DeleteBucket(bucketLog); err != nil {
-				return err
-			}
-			var err error
-			if log, err = tx.CreateBucket(bucketLog); err != nil {
-				return err
-			}
+	whole := s.whole
+	if n.Group != s.g.Group || n.ID != s.g.ID { // another part in another group: nothing of the earlier one is kept
+		whole = &accord.Saved{}
+	}
+	whole = whole.With(n)
+	g, written := s.g, n
+	if s.doubt {
+		g, written = group{}, whole
+	}
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		var err error
+		g, err = write(tx, g, written)
+		return err
+	})
+	if err != nil {
+		s.doubt = true
+		return err
+	}
+	s.g, s.whole, s.doubt = g, whole, false
+	return nil
+}
+
+// write writes what is to be saved behind what the group's record g says is there, and returns the group's record after it.
+func write(tx *bbolt.Tx, g group, n *accord.Saved) (group, error) {
+	if n.Group != g.Group || n.ID != g.ID || g.Group.None() {
+		if err := clearGroup(tx); err != nil {
+			return g, err
 		}
-		g.Group, g.Rank, g.ID, g.Voters = n.Group, n.Rank, n.ID, n.Voters
-		put := func(key []byte, m proto.Message) error {
-			b, err := proto.Marshal(m)
-			if err != nil {
-				return err
-			}
-			return meta.Put(key, sealed(key, b))
+		g = group{}
+	}
+	meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+	g.Group, g.Rank, g.ID, g.Voters = n.Group, n.Rank, n.ID, n.Voters
+	if n.Hard != nil && n.Hard.GetTerm() > 0 {
+		if err := put(meta, keyHard, n.Hard); err != nil {
+			return g, err
 		}
-		if n.Hard != nil && n.Hard.GetTerm() > 0 {
-			if err := put(keyHard, n.Hard); err != nil {
-				return err
-			}
+	}
+	var err error
+	if g, err = writeEntries(log, g, n.Entries); err != nil {
+		return g, err
+	}
+	if n.Snapshot != nil && n.Snapshot.GetMetadata().GetIndex() > 0 {
+		if err := put(meta, keySnap, n.Snapshot); err != nil {
+			return g, err
 		}
-		if len(n.Entries) > 0 {
-			first := n.Entries[0].GetIndex()
-			for i := first; i <= g.Last && g.Last > 0; i++ {
-				if err := log.Delete(binary.BigEndian.AppendUint64(nil, i)); err != nil {
-					return err
-				}
-			}
-			if g.Last == 0 || first < g.First || first > g.Last+1 {
-				g.First = first
-			}
-			for _, e := range n.Entries {
-				key := binary.BigEndian.AppendUint64(nil, e.GetIndex())
-				b, err := proto.Marshal(e)
-				if err != nil {
-					return err
-				}
-				if err := log.Put(key, sealed(key, b)); err != nil {
-					return err
-				}
-				g.Last = e.GetIndex()
-			}
+		if g, err = dropEntries(log, g, n.Snapshot.GetMetadata().GetIndex()); err != nil {
+			return g, err
 		}
-		if n.Snapshot != nil && n.Snapshot.GetMetadata().GetIndex() > 0 {
-			if err := put(keySnap, n.Snapshot); err != nil {
-				return err
-			}
-			at := n.Snapshot.GetMetadata().GetIndex()
-			for i := g.First; i <= min(at, g.Last) && i > 0; i++ {
-				if err := log.Delete(binary.BigEndian.AppendUint64(nil, i)); err != nil {
-					return err
-				}
-			}
-			if g.Last <= at {
-				g.First, g.Last = 0, 0
-			} else if g.First <= at {
-				g.First = at + 1
-			}
+	}
+	return g, meta.Put(keyGroup, sealed(keyGroup, wire.Word(g)))
+}
+
+// clearGroup drops all that is kept of a group.
+func clearGroup(tx *bbolt.Tx) error {
+	meta := tx.Bucket(bucketMeta)
+	for _, k := range [][]byte{keyHard, keySnap} {
+		if err := meta.Delete(k); err != nil {
+			return err
 		}
-		s.g = g
-		return meta.Put(keyGroup, sealed(keyGroup, wire.Word(g)))
-	})
+	}
+	if err := tx.DeleteBucket(bucketLog); err != nil {
+		return err
+	}
+	_, err := tx.CreateBucket(bucketLog)
+	return err
+}
+
+// put writes a message under a key.
+func put(to *bbolt.Bucket, key []byte, m proto.Message) error {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return to.Put(key, sealed(key, b))
 }
 
+// writeEntries writes entries of the log in the place of those from the first one's index on.
+func writeEntries(log *bbolt.Bucket, g group, entries []*raftpb.Entry) (group, error) {
+	if len(entries) == 0 {
+		return g, nil
+	}
+	first := entries[0].GetIndex()
+	for i := first; i <= g.Last && g.Last > 0; i++ {
+		if err := log.Delete(index(i)); err != nil {
+			return g, err
+		}
+	}
+	if g.Last == 0 || first < g.First || first > g.Last+1 {
+		g.First = first
+	}
+	for _, e := range entries {
+		if err := put(log, index(e.GetIndex()), e); err != nil {
+			return g, err
+		}
+		g.Last = e.GetIndex()
+	}
+	return g, nil
+}
+
+// dropEntries drops the entries of the log up to an index, which a snapshot holds.
+func dropEntries(log *bbolt.Bucket, g group, upTo uint64) (group, error) {
+	for i := g.First; i <= min(upTo, g.Last) && i > 0; i++ {
+		if err := log.Delete(index(i)); err != nil {
+			return g, err
+		}
+	}
+	if g.Last <= upTo {
+		g.First, g.Last = 0, 0
+	} else if g.First <= upTo {
+		g.First = upTo + 1
+	}
+	return g, nil
+}
+
+// index is the key of an entry of the log.
+func index(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+
 // Close lets go of the file.
 func (s *Store) Close() error { return s.db.Close() }
--- a/internal/fleet/seat/disk_test.go
+++ b/internal/fleet/seat/disk_test.go
@@ -108,7 +108,18 @@
 		t.Fatal("no group was founded")
 	}
 	broken.fails = 1 << 30
-	play(30 * time.Second) // something is to be saved by then
+	decide := func() { // something that every seat has to save
+		for _, s := range seats {
+			if a := s.core.Accord(); a.Leads() {
+				a.Propose([]byte("no command"))
+			}
+		}
+	}
+	decide()
+	play(time.Second)
+	if !seats["n1"].failing {
+		t.Fatal("nothing was to be saved")
+	}
 	before := sent["n1"]
 	play(30 * time.Second)
 	if sent["n1"] != before {
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -77,7 +77,10 @@
 	owned   time.Duration
 	own     council.Own
 	waiting map[uint64]chan<- council.Result
-	begun   bool // whoever runs the process has begun to restart it
+	pending []council.Action // what the core has asked for and is not done yet, in order: its first cannot be saved
+	failing bool             // the last try to save failed
+	retryAt time.Duration    // when what could not be saved is tried again
+	begun   bool             // whoever runs the process has begun to restart it
 
 	peers   func(n int) []string // draws members; nil until it is needed
 	settled bool                 // the host has been told so
@@ -133,7 +136,7 @@
 		}
 	}
 	s.core.Step(now, s.own)
-	return s.flush()
+	return s.flush(now)
 }
 
 // ask is what the node says of itself to the council.
@@ -155,7 +158,13 @@
 }
 
 // Wake implements gossip.Part.
-func (s *Seat) Wake() time.Duration { return min(s.core.Wake(), s.owned+s.c.Fleet.Period/4) }
+func (s *Seat) Wake() time.Duration {
+	wake := min(s.core.Wake(), s.owned+s.c.Fleet.Period/4)
+	if len(s.pending) > 0 {
+		wake = min(wake, s.retryAt)
+	}
+	return wake
+}
 
 // Close implements gossip.Part.
 func (s *Seat) Close() {
@@ -169,40 +178,84 @@
 	}
 }
 
-// flush lets what the core has done take effect.
-func (s *Seat) flush() (out []gossip.Letter) {
-	for _, a := range s.core.Out() {
-		switch a.Do {
-		case council.Send:
+// flush lets what the core has done take effect. Where something cannot be saved, nothing that follows is done until it can:
+// what is not on the disk must not be promised, and what was promised is still owed.
+func (s *Seat) flush(now time.Duration) (out []gossip.Letter) {
+	s.pending = append(s.pending, s.core.Out()...)
+	for len(s.pending) > 0 {
+		a := s.pending[0]
+		if a.Do == council.Save && s.store != nil && !s.save(now, a.Saved) {
+			s.shorten()
+			return nil
+		}
+		if a.Do == council.Send {
 			out = append(out, gossip.Letter{To: a.To, Kind: a.Kind, Body: a.Body})
-		case council.Save:
-			if s.store == nil {
-				continue
-			}
-			if err := s.store.Save(a.Saved); err != nil {
-				// What is not on the disk must not be promised: nothing that follows goes out, and the part ends.
-				s.log.Error("cannot be saved: this seat is silent from here on", "error", err)
-				s.core.Accord().Forget("its disk fails")
-				return nil
-			}
-		case council.Begin:
-			s.begun = false
-			s.log.Info("leaves service", "permit", a.No, "target", a.Target, "away", a.Away)
-			if a.Away {
-				s.host.Drain()
-			}
-		case council.Return:
-			s.log.Info("comes back into service", "permit", a.No)
-			s.host.Resume()
-		case council.Drains:
-			s.log.Info("drained workers", "workers", a.Workers)
-			s.c.Drainer.set(a.Workers)
-		case council.Apply:
-			s.host.Apply(a.Rev)
-		case council.Say:
-			s.log.Info("council", "says", a.Text)
+		} else {
+			s.do(a)
+		}
+		s.pending = s.pending[1:]
+	}
+	s.pending = nil
+	s.report()
+	return out
+}
+
+// retryEvery is how often what could not be saved is tried again.
+const retryEvery = 250 * time.Millisecond
+
+// save makes something last, and reports whether it does.
+func (s *Seat) save(now time.Duration, n *accord.Saved) bool {
+	if s.failing && now < s.retryAt {
+		return false
+	}
+	err := s.store.Save(n)
+	if err != nil && !s.failing {
+		s.log.Error("cannot be saved: this seat is silent until it can", "error", err)
+	} else if err == nil && s.failing {
+		s.log.Info("can be saved again")
+	}
+	s.failing, s.retryAt = err != nil, now+retryEvery
+	return err == nil
+}
+
+// shorten keeps what waits for the disk small: datagrams may be lost as on any way, and all that is to be saved is saved at once.
+func (s *Seat) shorten() {
+	kept := []council.Action{{Do: council.Save, Saved: s.pending[0].Saved}}
+	for _, a := range s.pending[1:] {
+		switch {
+		case a.Do == council.Save && a.Saved.Group == kept[0].Saved.Group && a.Saved.ID == kept[0].Saved.ID:
+			kept[0].Saved = kept[0].Saved.With(a.Saved)
+		case a.Do != council.Send:
+			kept = append(kept, a)
+		}
+	}
+	s.pending = kept
+}
+
+// do lets one thing that the core asks for take effect.
+func (s *Seat) do(a council.Action) {
+	switch a.Do {
+	case council.Begin:
+		s.begun = false
+		s.log.Info("leaves service", "permit", a.No, "target", a.Target, "away", a.Away)
+		if a.Away {
+			s.host.Drain()
 		}
+	case council.Return:
+		s.log.Info("comes back into service", "permit", a.No)
+		s.host.Resume()
+	case council.Drains:
+		s.log.Info("drained workers", "workers", a.Workers)
+		s.c.Drainer.set(a.Workers)
+	case council.Apply:
+		s.host.Apply(a.Rev)
+	case council.Say:
+		s.log.Info("council", "says", a.Text)
 	}
+}
+
+// report tells whoever waits what has become of things.
+func (s *Seat) report() {
 	for _, b := range s.core.Begun() {
 		s.log.Info("exit confirmed", "of", b.Of.String(), "permit", b.No, "out", b.Out, "most", b.Most, "group", b.Group.String())
 	}
@@ -217,7 +270,6 @@
 		s.settled = true
 		s.host.Settled()
 	}
-	return out
 }
 
 // settled reports whether the node knows what the fleet's settings are: what it holds is in force, or cannot be, or others hold
