Soak: real processes under two or three drawn, overlapping troubles, judged by invariants

Change: internal/soak and tools/soak: signals, restarts, hand-overs, reloads, steps of one process's wall clock, system calls that fail by injection, a log that nobody reads, discovery and workers cut, late, silent or reset, clients that leave or stop. Judged are answers, repeats, drains, slow start, deadlines told, attempts for clients that have left, bad clients, processes and what nodes count of themselves. Findings by time while the harness itself was late are kept apart and printed. Addresses moved to a package of their own.

--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -29,7 +29,7 @@
 	Left                 // Node, Request: its client has given up
 	Answered             // Node, Request, Verdict, Result: the last byte of the answer is written
 	Dropped              // Node, Request: the node ended the connection with no whole answer
-	Sent                 // Node, Request, Try, Peer: the first byte of a try is written
+	Sent                 // Node, Request, Try, Peer, Within: the first byte of a try is written
 	Arrived              // Node, Request, Try, Peer, Work: its last byte has come to the peer
 	Made                 // Request, Peer, Result: a peer has made a result
 	Ended                // Try, Never: the node has been told how a try ended; Never if that proves it never ran
@@ -75,6 +75,7 @@
 	Cold     bool
 	Since    time.Duration // of Told: when the process that the list knows of started
 	Work     float64       // in the unit of Capacity times seconds
+	Within   time.Duration // of Sent: the deadline that the peer is told; 0: none
 }
 
 // Config is what the rules depend on. Times of zero are bounds of zero, but for ColdFor and FallAfter: without them
@@ -91,7 +92,11 @@
 	// Unordered: the trace was taken on real sockets. What happens on one connection is in order, what happens on two may
 	// be seen in either. A refusal is then judged at the end (Close), and a try that is seen after its request's answer is
 	// not held against the node.
-	Unordered    bool
+	Unordered bool
+	// LeftGrace: a try may begin so long after its client has left; 0: that is not judged. DeadlineSlack: a peer may be told so
+	// much more than the client has left; 0: not judged.
+	LeftGrace, DeadlineSlack time.Duration
+
 	ColdFrom     float64
 	ColdFor      time.Duration
 	FallMultiple float64
@@ -406,6 +411,12 @@
 	if j.over && !j.shared && !c.c.Unordered && !(j.left > 0 && e.At <= j.left+c.c.AnswerGrace) { // that the client has left takes time to come
 		c.broken(1, e, "sent after the end of its request")
 	}
+	if c.c.LeftGrace > 0 && j.left > 0 && e.At > j.left+c.c.LeftGrace && !j.shared {
+		c.broken(1, e, fmt.Sprintf("begun %v after its client had left", e.At-j.left))
+	}
+	if left := j.due - c.c.AnswerGrace - e.At; c.c.DeadlineSlack > 0 && e.Within > left+c.c.DeadlineSlack && !j.shared {
+		c.broken(1, e, fmt.Sprintf("told a deadline of %v with %v left", e.Within, left))
+	}
 	cl := &c.c.Classes[j.class]
 	for _, o := range j.tries {
 		if j.shared {
--- a/internal/proving/field.go
+++ b/internal/proving/field.go
@@ -22,6 +22,7 @@
 	"swiftdeal/internal/fleet/accord"
 	"swiftdeal/internal/fleet/gossip"
 	"swiftdeal/internal/invariants"
+	"swiftdeal/internal/loopback"
 	"swiftdeal/internal/standin"
 )
 
@@ -83,7 +84,7 @@
 	plan  *Plan
 	opt   Options
 	dir   string
-	block *block
+	block block
 	relay *relay
 	host  *standin.Sockets
 	start time.Time
@@ -177,7 +178,7 @@
 	f.set.begin()
 	f.client.Timeout = 2 * time.Second
 	f.client.Transport = &http.Transport{DisableKeepAlives: true}
-	if f.block, err = reserve(); err != nil {
+	if f.block.Block, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
 	if f.log, err = os.Create(filepath.Join(f.dir, "events.jsonl")); err != nil {
@@ -395,7 +396,7 @@
 	for _, j := range f.knows(n.i) {
 		seeds = append(seeds, fmt.Sprintf("%q", f.block.relay(j)))
 	}
-	fmt.Fprintf(&b, "[view]\nseeds = [%s]\nallow = [\"127.%d.%d.0/24\"]\nperiod_ms = %d\n", strings.Join(seeds, ", "), f.block.a, f.block.b, int(f.plan.PeriodMs))
+	fmt.Fprintf(&b, "[view]\nseeds = [%s]\nallow = [\"127.%d.%d.0/24\"]\nperiod_ms = %d\n", strings.Join(seeds, ", "), f.block.A, f.block.B, int(f.plan.PeriodMs))
 	if f.plan.ForgetS > 0 {
 		fmt.Fprintf(&b, "forget_s = %d\n", int(f.plan.ForgetS))
 	}
@@ -633,8 +634,8 @@
 	if f.log != nil {
 		f.log.Close()
 	}
-	if f.block != nil {
-		f.block.release()
+	if f.block.Block != nil {
+		f.block.Release()
 	}
 }
 
--- /dev/null
+++ b/internal/soak/field.go
@@ -0,0 +1,477 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/invariants"
+	"swiftdeal/internal/loopback"
+	"swiftdeal/internal/standin"
+)
+
+// Options is how a plan is played.
+type Options struct {
+	Bin   string  // made by Build
+	Dir   string  // where logs stay
+	Slack float64 // by which times are judged more loosely than the promises say, in seconds, for busy machines
+	Say   func(text string)
+}
+
+// Stats is what a run has seen.
+type Stats struct {
+	Asked, Served, Lost       int // requests of usual clients, by how they ended
+	Refused, Failed, Attempts int
+	Starts, Kills             int     // of processes
+	WorstLagMs                float64 // by which the harness itself was late
+}
+
+// Field is a run: the processes, the stand-ins and what is judged.
+type Field struct {
+	plan  *Plan
+	opt   Options
+	start time.Time
+	host  *standin.Sockets
+	block *loopback.Block
+
+	// Under the host's lock.
+	checker   *invariants.Checker
+	fleet     *standin.Fleet
+	disco     *standin.Discovery
+	fronts    [][2]*standin.Front // by node: both addresses of discovery
+	workers   []*worker
+	ways      map[*way]bool
+	clients   *standin.Clients
+	arrives   string // whose bytes are being delivered
+	tries     int
+	delay     time.Duration // of what passes to and from workers
+	discoCut  bool
+	leaving   float64 // share of clients that give up early
+	calm      bool    // no more requests are sent
+	lastLag   time.Time
+	trace     []string
+	stats     Stats
+	broken    []Violation
+	unjudged  []Violation
+	byRequest map[string][]string // what happened to each request of late
+
+	mu    sync.Mutex
+	nodes []*node
+	over  bool
+	stop  chan struct{}
+	loops sync.WaitGroup
+}
+
+// Violation is an invariant that broke.
+type Violation struct {
+	Invariant string
+	Text      string
+	Trace     []string // what came before it
+}
+
+// worker is a stand-in worker.
+type worker struct {
+	p     *standin.Peer
+	entry standin.Entry
+	hung  bool
+}
+
+// node is a node with its processes.
+type node struct {
+	i      int
+	proc   *process
+	lives  int
+	ready  bool      // guarded by the host's lock
+	killed time.Time // when a process of it was last killed: its clients may be cut off
+	second int       // the address of discovery in use
+	step   float64
+	call   string
+}
+
+// class is a class of requests.
+type class struct {
+	name, effect, scope string
+	effectOf            balance.Effect
+	scopeOf             balance.Scope
+	aim, deadline       float64 // ms
+	window              float64 // ms
+	share               float64
+}
+
+var classes = []class{
+	{"quick", "retryable", "", balance.Safe, balance.AllWorkers, 600, 1500, 0, 0.45},
+	{"keyed", "dedup", "all", balance.Keyed, balance.AllWorkers, 1000, 2500, 2000, 0.2},
+	{"zoned", "dedup", "cell", balance.Keyed, balance.SameCell, 1000, 3000, 1500, 0.15},
+	{"once", "fragile", "", balance.Unsafe, balance.AllWorkers, 1000, 2500, 0, 0.2},
+}
+
+// Times of the deployment that the harness plays.
+const (
+	coldFrom     = 0.15
+	coldFor      = 6 * time.Second
+	fallMultiple = 3
+	fallAfter    = 2 * time.Second
+	idleConn     = 4 * time.Second
+)
+
+func newField(p *Plan, opt Options) (f *Field, err error) {
+	f = &Field{plan: p, opt: opt, start: time.Now(), host: standin.NewSockets(), ways: map[*way]bool{}, stop: make(chan struct{}), byRequest: map[string][]string{}}
+	if f.block, err = loopback.Reserve(); err != nil {
+		return f, err
+	}
+	slack := time.Duration(opt.Slack * float64(time.Second))
+	var list []balance.Class
+	kinds := map[string]standin.Class{}
+	for _, c := range classes {
+		list = append(list, balance.Class{Name: c.name, Effect: c.effectOf, Scope: c.scopeOf, Deadline: span(c.deadline), Window: span(c.window)})
+		kinds[c.name] = standin.Class{Keyed: c.effectOf == balance.Keyed, Scope: c.scope, Window: span(c.window)}
+	}
+	f.checker = invariants.New(invariants.Config{
+		Classes: list, AnswerGrace: 550*time.Millisecond + slack, DrainGrace: 550*time.Millisecond + slack, WindowSlack: 200*time.Millisecond + slack, MaxAttempts: 4,
+		SecondCopies: true, Unordered: true, LeftGrace: 100*time.Millisecond + 50*time.Millisecond + slack, DeadlineSlack: 150*time.Millisecond + slack,
+		ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: fallMultiple, FallAfter: fallAfter, ToldAfter: 0,
+	})
+	f.fleet = standin.NewFleet(f.host, f, kinds)
+	f.disco = &standin.Discovery{Clock: f.host, Late: 50 * time.Millisecond}
+	for w := range p.Workers {
+		f.newWorker(w)
+	}
+	for i := range p.Nodes {
+		f.nodes = append(f.nodes, &node{i: i})
+		if err := f.doors(i); err != nil {
+			return f, err
+		}
+	}
+	f.clients = standin.NewClients(f.host, f, f, p.Seed)
+	for _, t := range p.Troubles {
+		if t.Kind == Calls {
+			f.nodes[t.Target].call = t.Call
+		}
+		if t.Kind == Clock && t.Amount > -3600 && t.Amount < 3600 {
+			f.nodes[t.Target].step = t.Amount
+		}
+	}
+	return f, nil
+}
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (f *Field) name(i int) string { return fmt.Sprintf("n%d", i) }
+
+// Ports of the harness.
+const (
+	clientsPort = 7001
+	controlPort = 7010
+	discoPort   = 7100
+	workerPort  = 7200
+)
+
+func (f *Field) clientsAt(i int) string       { return f.block.Addr(10+i, clientsPort) }
+func (f *Field) controlAt(i, life int) string { return f.block.Addr(10+i, controlPort+life%50) }
+
+// newWorker makes a stand-in worker.
+func (f *Field) newWorker(w int) {
+	p := &standin.Peer{
+		Fleet: f.fleet, ID: fmt.Sprintf("w%d", w), Zone: "a", Cell: fmt.Sprint(w % 2), Kind: "std", Cores: 8, Slots: 8, Memory: 16, Speed: 1,
+		Queue: 3, Refresh: 200 * time.Millisecond, Progress: 300 * time.Millisecond, ColdFrom: coldFrom, ColdFor: coldFor, Idle: idleConn, Returns: true,
+	}
+	p.Seed(f.plan.Seed)
+	s := &worker{p: p, entry: standin.Entry{ID: p.ID, Zone: p.Zone, Kind: p.Kind, Cell: w % 2, State: "in_service", Weight: 1}}
+	f.workers = append(f.workers, s)
+	f.host.Do(func() {
+		p.Start(false)
+		f.tell(invariants.Event{Kind: invariants.PeerUp, Peer: p.ID, Zone: p.Zone, Cell: p.Cell, Capacity: p.Capacity()})
+		f.disco.Set(s.entry)
+	})
+}
+
+// doors opens the addresses at which a node finds discovery and the workers: its own ones.
+func (f *Field) doors(i int) error {
+	var pair [2]*standin.Front
+	f.host.Do(func() {
+		for k := range pair {
+			pair[k] = f.disco.Front()
+			pair[k].At = func(e standin.Entry) string {
+				w := 0
+				fmt.Sscanf(e.ID, "w%d", &w)
+				return f.block.Addr(100+i, workerPort+w)
+			}
+		}
+	})
+	f.fronts = append(f.fronts, pair)
+	for k, fr := range pair {
+		if _, err := f.host.ListenAt(f.block.Addr(100+i, discoPort+k), func(c standin.Conn) standin.Handler { return f.open(c, i, nil, fr.Open) }); err != nil {
+			return err
+		}
+	}
+	for w, s := range f.workers {
+		if _, err := f.host.ListenAt(f.block.Addr(100+i, workerPort+w), func(c standin.Conn) standin.Handler {
+			if s.hung {
+				return f.open(c, i, s, func(standin.Conn) standin.Handler { return nobody{} })
+			}
+			return f.open(c, i, s, s.p.Open)
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nobody takes what comes and says nothing.
+type nobody struct{}
+
+func (nobody) Data([]byte) {}
+func (nobody) Gone(bool)   {}
+
+// config writes a node's file.
+func (f *Field) config(n *node) (path string, err error) {
+	var profiles []map[string]any
+	for _, c := range classes {
+		profiles = append(profiles, map[string]any{"name": c.name, "effect": c.effect, "dedupScope": c.scope, "aimMs": c.aim, "deadlineMs": c.deadline,
+			"repeatWindowMs": c.window, "aimStretch": 1.0, "worth": 1})
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": f.name(n.i), "listen": f.clientsAt(n.i), "control": f.controlAt(n.i, n.lives), "discovery": f.block.Addr(100+n.i, discoPort+n.second),
+		"seed":   fmt.Sprintf("%x", f.plan.Seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 300},
+		"known":  json.RawMessage(standin.Text(0, true, nil)),
+		"settings": map[string]any{
+			"az": "a", "balancers": f.plan.Nodes, "me": n.i, "discovery": "on_request", "stepMs": 1,
+			"familyInfo": map[string]any{"reportX0": "free slots", "reportX1": "free memory", "tellsStart": true, "progressMs": 300, "queueOrder": "fifo"},
+			"limits": map[string]any{"cancelling": true, "probing": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterMs": 2000,
+				"connIdleMs": idleConn.Milliseconds(), "dialTimeoutMs": 250, "maxAttempts": 4},
+			"loadReport":  map[string]any{"fields": []string{"tps", "concurrent", "x0", "x1"}, "how": "pull"},
+			"obligations": map[string]any{"coldFrom": coldFrom, "coldMs": coldFor.Milliseconds(), "fallMultiple": fallMultiple, "overloadForMs": fallAfter.Milliseconds()},
+			"prices":      map[string]any{"crossZone": 0.029, "waste": 0.04, "lateFail": 0.08, "probe": 0.0005},
+			"profiles":    profiles,
+		},
+	})
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(f.opt.Dir, f.name(n.i)+".json")
+	return path, os.WriteFile(path, text, 0o644)
+}
+
+// run starts a process of a node.
+func (f *Field) run(n *node) error {
+	f.mu.Lock()
+	over := f.over
+	f.mu.Unlock()
+	if over {
+		return nil
+	}
+	path, err := f.config(n)
+	if err != nil {
+		return err
+	}
+	temp := filepath.Join(f.opt.Dir, f.name(n.i)+".tmp")
+	if err := os.MkdirAll(temp, 0o755); err != nil {
+		return err
+	}
+	env := []string{"GW_CONFIG=" + path, "TMPDIR=" + temp, "PATH=" + os.Getenv("PATH"), "GOTRACEBACK=all", fmt.Sprintf("%s=%d", stepEnv, int(n.step))}
+	p, err := f.launch(fmt.Sprintf("%s.%d", f.name(n.i), n.lives), n.call, env)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	n.proc, n.lives = p, n.lives+1
+	f.mu.Unlock()
+	f.host.Do(func() { f.stats.Starts++ })
+	return nil
+}
+
+// gone is told that a process has ended.
+func (f *Field) gone(p *process) {
+	f.mu.Lock()
+	asked, over := p.asked, f.over
+	f.mu.Unlock()
+	if !asked && !over || asked && p.code > 0 {
+		f.breaks("process", fmt.Sprintf("%s ended with code %d: %s", p.name, p.code, strings.Join(p.about("", 12), "\n")))
+	}
+}
+
+// watchReady asks each node whether it takes clients, as the front layer does.
+func (f *Field) watchReady() {
+	for _, n := range f.nodes {
+		f.loops.Go(func() {
+			c := http.Client{Timeout: 700 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+			misses := 0
+			for every := time.NewTicker(100 * time.Millisecond); ; {
+				select {
+				case <-f.stop:
+					every.Stop()
+					return
+				case <-every.C:
+				}
+				resp, err := c.Get("http://" + f.clientsAt(n.i) + "/ready")
+				ready := err == nil && resp.StatusCode == http.StatusOK
+				if err == nil {
+					resp.Body.Close()
+					misses = 0
+				} else if misses++; misses < 3 {
+					continue
+				}
+				f.host.Do(func() { n.ready = ready })
+			}
+		})
+	}
+}
+
+// watchLag notes when the harness itself is late: what it sees then is not judged by time.
+func (f *Field) watchLag() {
+	f.loops.Go(func() {
+		for last := time.Now(); ; {
+			select {
+			case <-f.stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			f.host.Do(func() {
+				now := time.Now()
+				lag := now.Sub(last) - 5*time.Millisecond
+				last = now
+				f.stats.WorstLagMs = max(f.stats.WorstLagMs, float64(lag.Microseconds())/1000)
+				if lag > lagJudged {
+					f.lastLag = now
+				}
+			})
+		}
+	})
+}
+
+// lagJudged is how late the harness may be for times to be judged, and lagHolds how long it counts.
+const (
+	lagJudged = 40 * time.Millisecond
+	lagHolds  = time.Second
+)
+
+// Node implements standin.Reach: a ready node, or one to which a connection is kept.
+func (f *Field) Node(j *standin.Job, try int, kept func(string) bool) string {
+	var in []string
+	for _, n := range f.nodes {
+		if name := f.name(n.i); n.ready || kept(name) {
+			in = append(in, name)
+		}
+	}
+	if len(in) == 0 {
+		return ""
+	}
+	return in[standin.Random(f.plan.Seed, fmt.Sprint(j.Name, try)).IntN(len(in))]
+}
+
+// Dial implements standin.Reach.
+func (f *Field) Dial(to string, _ int, h standin.Opener) {
+	i := 0
+	fmt.Sscanf(to, "n%d", &i)
+	f.host.Dial(f.clientsAt(i), h)
+}
+
+// ask sends the plan's requests, each at its time. It runs under the host's lock.
+func (f *Field) ask() {
+	r := rand.New(rand.NewPCG(f.plan.Seed, 11))
+	odd := []standin.Shape{standin.Pieces, standin.Chunked, standin.Single, standin.SlowRead, standin.Impatient, standin.Broken, standin.Half, standin.Endless, standin.Double,
+		standin.Pipelined, standin.Silent, standin.NoClass, standin.Huge}
+	i := 0
+	for at := 0.0; at < f.plan.LengthMs; i++ {
+		at += r.ExpFloat64() * 1000 / f.plan.Rate
+		c, u := classes[0], r.Float64()
+		for _, k := range classes {
+			if c = k; u < k.share {
+				break
+			}
+			u -= k.share
+		}
+		work := max(5, r.ExpFloat64()*f.plan.WorkMs)
+		j := &standin.Job{Name: fmt.Sprintf("j%d", i), Class: c.name, Repeat: c.effectOf == balance.Safe || c.effectOf == balance.Keyed && c.scopeOf == balance.AllWorkers, Refused: true,
+			Work: work / 1000, Hint: span(work), Slots: 1, Memory: 0.2, Patient: span(c.deadline), Stay: time.Second, Retries: 2, Pause: 30 * time.Millisecond}
+		if c.effectOf == balance.Keyed {
+			j.Key, j.Within = "k"+j.Name, span(c.window)
+		}
+		if r.Float64() < 0.1 {
+			j.Body = r.IntN(40000)
+		}
+		if r.Float64() < 0.03 {
+			j.Patient = span(5 + 60*r.Float64()) // very little time left
+		}
+		if r.Float64() < f.plan.Odd {
+			j.Shape = odd[r.IntN(len(odd))]
+		}
+		leaves, after := r.Float64(), span(5+300*r.Float64())
+		f.host.After(span(at), func() {
+			if f.calm {
+				return
+			}
+			if j.Shape == standin.Impatient || leaves < f.leaving && j.Shape == standin.Plain {
+				j.Shape, j.GiveUp = standin.Impatient, after
+			}
+			f.clients.Ask(j)
+		})
+	}
+}
+
+// close ends all that a run has started, whatever became of it.
+func (f *Field) close() {
+	f.mu.Lock()
+	f.over = true
+	nodes := slices.Clone(f.nodes)
+	f.mu.Unlock()
+	close(f.stop)
+	for _, n := range nodes {
+		if n.proc.running() {
+			n.proc.cmd.Process.Kill()
+			<-n.proc.ended
+		}
+	}
+	f.loops.Wait()
+	f.host.Close()
+	if f.block != nil {
+		f.block.Release()
+	}
+}
+
+// figures asks a node's process for its figures.
+func (f *Field) figures(n *node) (map[string]float64, error) {
+	f.mu.Lock()
+	at := f.controlAt(n.i, n.lives-1)
+	f.mu.Unlock()
+	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Get("http://" + at + "/-/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	list := map[string]float64{}
+	for line := range strings.Lines(string(text)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		v := 0.0
+		if n, _ := fmt.Sscan(value, &v); ok && n == 1 && !strings.HasPrefix(line, "#") {
+			list[name] = v
+		}
+	}
+	return list, nil
+}
+
+// waysTo lists the connections to a worker, or to discovery.
+func (f *Field) waysTo(w *worker) (list []*way) {
+	for _, t := range slices.Collect(maps.Keys(f.ways)) {
+		if t.w == w {
+			list = append(list, t)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/invariants"
+	"swiftdeal/internal/standin"
+)
+
+// What is noted, and what is judged by it. All of it runs under the host's lock, but for note and breaks.
+
+// keptTrace is how many lines of the trace are kept, and shownTrace how many a violation shows.
+const (
+	keptTrace  = 4000
+	shownTrace = 40
+)
+
+// write adds a line to the trace.
+func (f *Field) write(text string) {
+	if len(f.trace) >= keptTrace {
+		f.trace = slices.Delete(f.trace, 0, keptTrace/4)
+	}
+	f.trace = append(f.trace, fmt.Sprintf("%9.1f ms  %s", float64(time.Since(f.start).Microseconds())/1000, text))
+}
+
+// note adds a line to the trace from outside the host's lock.
+func (f *Field) note(kind, who, text string) {
+	f.host.Do(func() { f.write(kind + " " + who + " " + text) })
+}
+
+// breaks notes a violation from outside the host's lock.
+func (f *Field) breaks(invariant, text string) {
+	f.host.Do(func() { f.violated(invariant, text, "", false) })
+}
+
+// violated notes a violation. One that is judged by time while the harness itself was late is kept apart.
+func (f *Field) violated(invariant, text, request string, timed bool) {
+	f.write("VIOLATED " + invariant + ": " + text)
+	v := Violation{Invariant: invariant, Text: text, Trace: f.before(request)}
+	if timed && time.Since(f.lastLag) < lagHolds {
+		f.unjudged = append(f.unjudged, v)
+	} else if len(f.broken) < 50 {
+		f.broken = append(f.broken, v)
+	}
+}
+
+// before is the trace before a violation: of the request where it is one's, and of the run.
+func (f *Field) before(request string) []string {
+	list := slices.Clone(f.byRequest[request])
+	return append(list, f.trace[max(0, len(f.trace)-shownTrace):]...)
+}
+
+// names of the invariants that the checker of the four rules judges.
+var names = map[int]string{1: "answer", 2: "repeat", 3: "drain", 4: "slow-start"}
+
+// tell hands an event to the checker.
+func (f *Field) tell(e invariants.Event) {
+	e.At = time.Since(f.start)
+	if e.Request != "" {
+		line := fmt.Sprintf("%s node %s request %s worker %s", e.Kind, e.Node, e.Request, e.Peer)
+		switch e.Kind {
+		case invariants.Sent:
+			line += fmt.Sprintf(", told %v", e.Within)
+		case invariants.Answered:
+			line += " " + e.Verdict.String()
+		case invariants.Taken:
+			line += fmt.Sprintf(", until %v", e.Until)
+		}
+		f.write(line)
+		f.byRequest[e.Request] = append(f.byRequest[e.Request], f.trace[len(f.trace)-1])
+	}
+	f.judged(f.checker.Step(e))
+}
+
+func (f *Field) judged(list []invariants.Violation) {
+	for _, v := range list {
+		timed := v.Rule != 2
+		f.violated(names[v.Rule], v.String(), v.Request, timed)
+	}
+}
+
+// toldList notes what a message of discovery tells a node.
+func (f *Field) toldList(node int, m *standin.Mark) {
+	if m.List == nil && !m.Full {
+		return
+	}
+	named := map[string]bool{}
+	for _, e := range m.List {
+		named[e.ID] = true
+		state := map[string]balance.State{"in_service": balance.Ready, "terminating": balance.Draining, "terminated": balance.Gone}[e.State]
+		since := time.Duration(0)
+		if e.Started > 0 {
+			since = time.UnixMilli(e.Started + 1).Sub(f.start)
+		}
+		f.tell(invariants.Event{Kind: invariants.Told, Node: f.name(node), Peer: e.ID, State: state, Zone: e.Zone, Cell: fmt.Sprint(e.Cell), Since: since})
+	}
+	if !m.Full {
+		return
+	}
+	for _, w := range f.workers {
+		if !named[w.p.ID] {
+			f.tell(invariants.Event{Kind: invariants.Told, Node: f.name(node), Peer: w.p.ID, State: balance.Gone})
+		}
+	}
+}
+
+// Job implements standin.Watcher.
+func (f *Field) Job(peer, id string, work float64) {
+	f.tell(invariants.Event{Kind: invariants.Arrived, Node: f.arrives, Request: id, Peer: peer, Work: work})
+}
+
+// Made implements standin.Watcher.
+func (f *Field) Made(peer, id, result string) {
+	f.tell(invariants.Event{Kind: invariants.Made, Request: id, Peer: peer, Result: result})
+}
+
+// Began implements standin.Watcher.
+func (f *Field) Began(node, id string, until time.Time, name string) bool {
+	at := slices.IndexFunc(classes, func(c class) bool { return c.name == name })
+	f.tell(invariants.Event{Kind: invariants.Taken, Node: node, Request: id, Class: max(at, 0), Until: until.Sub(f.start)})
+	return true
+}
+
+// killedHolds is how long after a kill connections may still be found broken.
+const killedHolds = 600 * time.Millisecond
+
+// excused reports whether a node's clients may be cut off: its process was killed, or does not run.
+func (f *Field) excused(name string) bool {
+	i := 0
+	fmt.Sscanf(name, "n%d", &i)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.nodes[i].killed) < killedHolds || !f.nodes[i].proc.running()
+}
+
+// Ended implements standin.Watcher.
+func (f *Field) Ended(node, id string, status int, body string) {
+	e := invariants.Event{Kind: invariants.Answered, Node: node, Request: id, Verdict: invariants.Failed}
+	switch status {
+	case standin.Cut, standin.CutFirst:
+		e.Kind, e.First = invariants.Dropped, status == standin.CutFirst
+		if f.excused(node) {
+			e.Kind = invariants.Left
+		}
+	case standin.Crossed:
+		e.Kind = invariants.Left
+	case 200:
+		e.Verdict, e.Result = invariants.Served, body
+		f.stats.Served++
+	case 429, 503:
+		e.Verdict = invariants.Refused
+		f.stats.Refused++
+	default:
+		f.stats.Failed++
+	}
+	f.tell(e)
+}
+
+// Left implements standin.Watcher.
+func (f *Field) Left(node, id string) {
+	f.tell(invariants.Event{Kind: invariants.Left, Node: node, Request: id})
+}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -53,6 +53,7 @@
 	Memory  float64
 	Patient time.Duration // over all tries
 	GiveUp  time.Duration // of an impatient client
+	Stay    time.Duration // past its deadline, before a client gives up
 	Body    int           // further bytes
 	Shape   Shape
 	Within  time.Duration // a new try comes only so long after the first; 0 for no limit
@@ -191,7 +192,7 @@
 	if a.stop != nil {
 		a.stop()
 	}
-	left := a.left()
+	left := a.left() + a.Stay
 	if a.Shape == Impatient {
 		left = min(left, a.GiveUp)
 	}
--- /dev/null
+++ b/tools/soak/main.go
@@ -0,0 +1,162 @@
+// Command soak strikes real processes of the program with drawn, overlapping troubles and judges them by the node's invariants
+// (internal/soak): many seeds, one of them again, or a plan from a file. Run it from the top of the repository.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"swiftdeal/internal/soak"
+)
+
+type cli struct {
+	Run     run     `cmd:"" help:"Play seeds one after the other."`
+	Plan    plan    `cmd:"" help:"Play the plan in a file, or print the plan of a seed."`
+	Planted planted `cmd:"" help:"Play the program with each planted fault: its invariant must break."`
+}
+
+type how struct {
+	Dir   string  `placeholder:"FOLDER" help:"Where plans, logs and traces stay; a new folder if it is not given."`
+	Nodes int     `default:"12" help:"Processes."`
+	Slack float64 `default:"0" help:"Seconds by which times are judged more loosely, for a busy machine."`
+	Race  bool    `help:"Build the program with the race detector."`
+}
+
+type run struct {
+	how
+	N    int    `short:"n" default:"20" help:"How many seeds."`
+	From uint64 `default:"1" help:"The first seed."`
+}
+
+type plan struct {
+	how
+	File string `arg:"" optional:"" help:"The plan's file."`
+	Seed uint64 `help:"Print the plan of this seed."`
+}
+
+type planted struct {
+	how
+	Only string `help:"Only this one."`
+}
+
+// folder makes a folder of the run's.
+func (h how) folder(name string) (string, error) {
+	if h.Dir == "" {
+		return os.MkdirTemp("", "soak-"+name+"-")
+	}
+	dir := filepath.Join(h.Dir, name)
+	return dir, os.MkdirAll(dir, 0o755)
+}
+
+// play plays a plan, says what it has come to and leaves plan and trace in a folder.
+func (h how) play(name, bin string, p *soak.Plan) (*soak.Result, error) {
+	dir, err := h.folder(name)
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.MarshalIndent(p, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "plan.json"), text, 0o644); err != nil {
+		return nil, err
+	}
+	r, err := soak.Run(p, soak.Options{Bin: bin, Dir: dir, Slack: h.Slack})
+	if err != nil {
+		return nil, err
+	}
+	var troubles []string
+	for _, t := range p.Troubles {
+		troubles = append(troubles, strings.TrimSpace(string(t.Kind)+" "+t.Call))
+	}
+	verdict := "holds"
+	if !r.Ok() {
+		verdict = "BROKEN"
+	}
+	fmt.Printf("%s: %s  [%s]  %+v  %d unjudged  %s\n", name, verdict, strings.Join(troubles, ", "), r.Stats, len(r.Unjudged), dir)
+	for i, v := range r.Broken {
+		fmt.Printf("  %s: %s\n", v.Invariant, v.Text)
+		if i == 0 {
+			fmt.Println("    " + strings.Join(v.Trace, "\n    "))
+		}
+	}
+	for _, v := range r.Unjudged {
+		fmt.Printf("  unjudged, the harness was late: %s: %s\n", v.Invariant, v.Text)
+	}
+	return r, nil
+}
+
+// build builds the program into a folder that the caller removes.
+func build() (bin string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "soak-build-")
+	if err != nil {
+		return "", nil, err
+	}
+	bin, err = soak.Build(dir, "soaked")
+	return bin, func() { os.RemoveAll(dir) }, err
+}
+
+func (r run) Run() error {
+	bin, remove, err := build()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	broken, unjudged, start := []uint64{}, 0, time.Now()
+	for i := range r.N {
+		seed := r.From + uint64(i)
+		res, err := r.play(fmt.Sprintf("seed-%d", seed), bin, soak.Draw(seed, r.Nodes))
+		if err != nil {
+			return err
+		}
+		unjudged += len(res.Unjudged)
+		if !res.Ok() {
+			broken = append(broken, seed)
+		}
+	}
+	fmt.Printf("%d seeds in %v, %d broken %v, %d findings unjudged\n", r.N, time.Since(start).Round(time.Second), len(broken), broken, unjudged)
+	if len(broken) > 0 {
+		return errors.New("some seeds broke an invariant")
+	}
+	return nil
+}
+
+func (p plan) Run() error {
+	if p.File == "" {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(soak.Draw(p.Seed, p.Nodes))
+	}
+	text, err := os.ReadFile(p.File)
+	if err != nil {
+		return err
+	}
+	drawn, err := soak.Parse(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", p.File, err)
+	}
+	bin, remove, err := build()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	r, err := p.play("plan", bin, drawn)
+	if err == nil && !r.Ok() {
+		err = errors.New("the plan broke an invariant")
+	}
+	return err
+}
+
+func (p planted) Run() error { return errors.New("not yet") }
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("soak"), kong.Description("Real processes of the program under drawn, overlapping troubles."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
