--- a/cmd/swiftdeal/signals_test.go
+++ b/cmd/swiftdeal/signals_test.go
@@ -15,7 +15,11 @@
 // TestMain lets the test's own program be the node.
 func TestMain(m *testing.M) {
 	if os.Getenv("SWIFTDEAL_TEST_SERVES") != "" {
-		if err := (serve{LogLevel: "info"}).Run(); err != nil {
+		level := "info"
+		if os.Getenv("SWIFTDEAL_TEST_SERVES") == "debug" {
+			level = "debug"
+		}
+		if err := (serve{LogLevel: level}).Run(); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -179,3 +179,39 @@
 	for _, err := client.Write([]byte(strings.Repeat("x", 64<<10))); err == nil; _, err = client.Write([]byte(strings.Repeat("x", 64<<10))) {
 	}
 }
+
+// A request that came while the one before it was open has waited since: its client's time runs from when it came.
+func TestTimeOfARequestThatCameAhead(t *testing.T) {
+	for name, between := range map[string]string{"read ahead": "", "read with the one before": ask} {
+		client, own := pair(t, 0)
+		if between == "" {
+			watched := open(t, client, own)
+			client.Write([]byte(ask))
+			if err := <-watched; err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			client.Write([]byte(ask + between))
+			if _, err := io.ReadFull(own, make([]byte, len(ask+between))); err != nil {
+				t.Fatal(err)
+			}
+			own.take(0)
+		}
+		came := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		own.Write([]byte("answer"))
+		own.Rests()
+		if between == "" {
+			if _, err := io.ReadFull(own, make([]byte, len(ask)-1)); err != nil { // the watch has had one byte
+				t.Fatal(err)
+			}
+		}
+		least := time.Since(came)
+		own.take(0)
+		own.mu.Lock()
+		if own.waited < least {
+			t.Errorf("%s: it has waited %v, %v at least", name, own.waited, least)
+		}
+		own.mu.Unlock()
+	}
+}
