The log never holds up the node, SIGPIPE does not end it, and time ahead counts

Cause: slog writes under the handler's lock, accounting under its own, so that a pipe whose reader stalls holds up requests' ends and the process's; Go dies of SIGPIPE on standard error. A request that came behind an open one had its time counted from when the server got to it. Change: package logsink queues 4,096 lines, drops and counts what does not fit; SIGPIPE is ignored. ingress.Conn notes when a head began behind an open request.

--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -11,11 +11,13 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/cost"
+	"swiftdeal/internal/logsink"
 	"swiftdeal/internal/node"
 	"swiftdeal/internal/platform"
 )
@@ -58,6 +60,7 @@
 	// all that came since the last reading.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // guards against an end with whoever reads the log
 	c, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
 		return err
@@ -76,9 +79,11 @@
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		return fmt.Errorf("log-level: %w", err)
 	}
-	var form slog.Handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	sink := logsink.New(os.Stderr, logLines)
+	defer sink.Close(logWait)
+	var form slog.Handler = slog.NewTextHandler(sink, &slog.HandlerOptions{Level: level})
 	if s.LogForm == "json" {
-		form = slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+		form = slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})
 	}
 	log := slog.New(form)
 	d, err := listen(ctx, c, log)
@@ -91,6 +96,12 @@
 	return node.Serve(ctx, platform.Real(), c, d, log)
 }
 
+// logLines is how many lines of the log may wait for their reader, and logWait how long the end of the process waits for it.
+const (
+	logLines = 4096
+	logWait  = 200 * time.Millisecond
+)
+
 // reread reads the configuration again at each signal. One that is faulty changes nothing: the node goes on
 // with what it has, and the log names the key.
 func reread(hup <-chan os.Signal, running *config.Config, reloads chan<- node.Reload) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -49,6 +49,10 @@
 	headWait time.Duration // for the rest of a head, from its first bytes; 0: as the server has it
 	resting  bool          // between two requests
 	headBy   time.Time     // the rest of the head that has begun there must have come by then; zero: none has begun
+
+	open    bool      // a request has been taken, and the connection has not rested since
+	tookAt  time.Time // when bytes were last read
+	aheadAt time.Time // when the head in hand began, if it came behind an open request
 }
 
 // NewConn wraps a client connection. A head of up to most bytes is kept, and after an answer the client has for so long as
@@ -88,9 +92,13 @@
 // Took implements peek.Owner: it keeps the head of what was read.
 func (o *owner) Took(p []byte) {
 	c := (*Conn)(o)
+	c.tookAt = time.Now()
 	over := min(c.skip, int64(len(p)))
 	c.skip -= over
 	p = p[over:]
+	if c.open && len(c.head) == 0 && len(p) > 0 {
+		c.aheadAt = c.tookAt
+	}
 	c.head = append(c.head, p[:min(len(p), max(c.most-len(c.head), 0))]...)
 	c.beginHead()
 }
@@ -138,7 +146,7 @@
 func (c *Conn) Rests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resting = true
+	c.resting, c.open = true, false
 	c.beginHead()
 }
 
@@ -328,7 +336,11 @@
 func (c *Conn) take(body int64) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered, c.resting = false, false // a request begins
+	c.answered, c.resting, c.open = false, false, true // a request begins
+	if !c.aheadAt.IsZero() {                           // its client's time has run since it came
+		c.waited += time.Since(c.aheadAt)
+		c.aheadAt = time.Time{}
+	}
 	if !c.headBy.IsZero() {
 		c.headBy, c.by = time.Time{}, time.Time{}
 		c.Conn.SetReadDeadline(c.by)
@@ -342,6 +354,9 @@
 	c.lost = body < 0
 	c.skip = max(body-int64(len(rest)), 0)
 	c.head = append([]byte(nil), rest[min(max(body, 0), int64(len(rest))):]...)
+	if len(c.head) > 0 {
+		c.aheadAt = c.tookAt
+	}
 	return head, true
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,8 +54,9 @@
 	// Guards against a body that never comes: neither its reader here nor the server, which reads on after an
 	// answer, may wait for it for ever.
 	ctl.SetReadDeadline(c.Arrived.Add(s.limits.BodyWait))
+	unclear := ambiguous(r)
 	c.Arrived = c.Arrived.Add(-sinceSent(r)) // its client's time has run since
-	if ambiguous(r) {
+	if unclear {
 		return malformed("Content-Length beside Transfer-Encoding, or a head that cannot be made out")
 	}
 	if r.Method != http.MethodPost {
--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -24,7 +24,6 @@
 	changes := []mutants.Change{
 		{File: clock, Old: "	mono -= startNano\n", New: "	mono -= startNano\n	sec += WallStep\n"},
 		{File: clock, Old: "var startNano int64 =", New: "// WallStep is by how many seconds the wall clock is off.\nvar WallStep int64\n\nvar startNano int64 ="},
-		{File: program, Old: "import (\n", New: "import (\n	\"time\"\n"},
 		{File: program, Old: "func main() {\n", New: fmt.Sprintf(`func init() {
 	fmt.Sscan(os.Getenv(%q), &time.WallStep)
 	steps := make(chan os.Signal, 8)
