Failing test: a request that is handed over across a step of the wall clock

Need: by the operators' terms deadlines, windows and waits are spans of real time, and a machine's wall clock may be stepped.

--- a/internal/soak/field.go
+++ b/internal/soak/field.go
@@ -64,6 +64,7 @@
 	broken    []Violation
 	unjudged  []Violation
 	byRequest map[string][]string // what happened to each request of late
+	owed      map[string]bool     // jobs whose clients stay past their deadline: they are owed an answer
 
 	mu    sync.Mutex
 	nodes []*node
@@ -125,7 +126,7 @@
 )
 
 func newField(p *Plan, opt Options) (f *Field, err error) {
-	f = &Field{plan: p, opt: opt, start: time.Now(), host: standin.NewSockets(), ways: map[*way]bool{}, stop: make(chan struct{}), byRequest: map[string][]string{}}
+	f = &Field{plan: p, opt: opt, start: time.Now(), host: standin.NewSockets(), ways: map[*way]bool{}, stop: make(chan struct{}), byRequest: map[string][]string{}, owed: map[string]bool{}}
 	if f.block, err = loopback.Reserve(); err != nil {
 		return f, err
 	}
@@ -394,7 +395,7 @@
 		}
 		work := max(5, r.ExpFloat64()*f.plan.WorkMs)
 		j := &standin.Job{Name: fmt.Sprintf("j%d", i), Class: c.name, Repeat: c.effectOf == balance.Safe || c.effectOf == balance.Keyed && c.scopeOf == balance.AllWorkers, Refused: true,
-			Work: work / 1000, Hint: span(work), Slots: 1, Memory: 0.2, Patient: span(c.deadline), Stay: time.Second, Retries: 2, Pause: 30 * time.Millisecond}
+			Work: work / 1000, Hint: span(work), Slots: 1, Memory: 0.2, Patient: span(c.deadline), Stay: time.Second + time.Duration(f.opt.Slack*float64(time.Second)), Retries: 2, Pause: 30 * time.Millisecond}
 		if c.effectOf == balance.Keyed {
 			j.Key, j.Within = "k"+j.Name, span(c.window)
 		}
@@ -415,6 +416,7 @@
 			if j.Shape == standin.Impatient || leaves < f.leaving && j.Shape == standin.Plain {
 				j.Shape, j.GiveUp = standin.Impatient, after
 			}
+			f.owed[j.Name] = j.Shape.Usual() && j.Shape != standin.Impatient
 			f.clients.Ask(j)
 		})
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"swiftdeal/balance"
@@ -161,5 +162,8 @@
 
 // Left implements standin.Watcher.
 func (f *Field) Left(node, id string) {
+	if job, _, _ := strings.Cut(id, "-"); f.owed[job] && !f.excused(node) {
+		f.violated("answer", fmt.Sprintf("%s has not answered %s long after its deadline", node, id), id, true)
+	}
 	f.tell(invariants.Event{Kind: invariants.Left, Node: node, Request: id})
 }
