Hand-overs and slow start go by monotonic clocks, wherever the wall clock stands

Cause: a hand-over wrote a request's arrival and deadline as wall times, and decisions' times by a clock that begins with the wall clock of each process; after a step the next process took all of them for an hour off. A worker's start is wall time of whoever lists it, and was compared with this machine's; the seat compared it with its own wall clock anew at each look. Change: messages carry the machine's monotonic clock beside the sender's, and times are moved by the difference (handover.Clocks; a process of before goes by wall times as ever). A start that is still to come, or is news and lies further back than discovery was last heard (and 6 s), counts as of now; starts are still what tells processes of a worker apart. The seat goes by the Balancer's clock. Not held: a process that starts on a machine whose clock is ahead takes workers of its first list for warmer than they are.

--- a/balance/api.go
+++ b/balance/api.go
@@ -91,6 +91,9 @@
 	Weight  float64       // rough relative size; 0 if not told
 	Started time.Duration // clock time of its last start; 0 if long ago or not told
 	State   State
+	// Within bounds how long ago a start lies that is news, by a monotonic clock; 0: not known. Started is by the wall clock of
+	// whoever lists workers, which this machine's may be off from.
+	Within time.Duration
 }
 
 // List says what a call of Members brings.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -234,7 +234,7 @@
 			// Guards against a worker that has restarted before the list tells: only a process that has just
 			// started has no report yet. Its slots are all free, and it is cold.
 			w.restarted()
-			w.Started = now
+			w.Started, w.warmFrom, w.shownAt = now, now, now
 		}
 		w.probeFails, w.heard, b.mute, b.okAt = 0, now, 0, now
 		if rep != nil {
@@ -611,10 +611,10 @@
 
 // warmth is the share of its capacity that a worker has at least at this time.
 func (b *Balancer) warmth(w *worker) float64 {
-	if w.Started <= 0 || b.s.ColdFor <= 0 || b.s.ColdFrom <= 0 {
+	if w.warmFrom <= 0 || b.s.ColdFor <= 0 || b.s.ColdFrom <= 0 {
 		return 1
 	}
-	age := min(max((b.now-w.Started).Seconds()/b.s.ColdFor.Seconds(), 0), 1)
+	age := min(max((b.now-w.warmFrom).Seconds()/b.s.ColdFor.Seconds(), 0), 1)
 	return b.s.ColdFrom + (1-b.s.ColdFrom)*age
 }
 
--- a/balance/know.go
+++ b/balance/know.go
@@ -25,6 +25,7 @@
 type Known struct {
 	ID                                 string
 	Started                            time.Duration
+	WarmFrom                           time.Duration // from when on it warms up, by the clock; 0: it is warm
 	Reported                           bool
 	Report                             Report
 	Measured                           time.Duration
@@ -41,6 +42,19 @@
 	Slots, Memory, Work float64
 }
 
+// Shift moves all times, to those of another clock. A time of 0, which stands for none, stays; so do starts, by which processes of
+// a worker are told apart.
+func (k *Knowledge) Shift(by time.Duration) {
+	shift(by, &k.LastRequest, &k.Born)
+	for i := range k.Workers {
+		w := &k.Workers[i]
+		shift(by, &w.WarmFrom, &w.Measured, &w.PaceAt, &w.Until, &w.Probed)
+		for j := range w.Events {
+			shift(by, &w.Events[j].At)
+		}
+	}
+}
+
 // Know returns what the balancer has learned.
 func (b *Balancer) Know() Knowledge {
 	k := Knowledge{
@@ -48,7 +62,7 @@
 	}
 	for _, w := range b.workers {
 		o := Known{
-			ID: w.ID, Started: w.Started, Reported: w.reported, Report: w.rep, Measured: w.measured, MostSlots: w.capSlots,
+			ID: w.ID, Started: w.Started, WarmFrom: w.warmFrom, Reported: w.reported, Report: w.rep, Measured: w.measured, MostSlots: w.capSlots,
 			MostMemory: w.capMem, Guess: w.guess, Pace: w.pace, PaceAt: w.paceAt, Until: w.until, Probed: w.probed,
 			Fails: w.fails, ProbeFails: w.probeFails, Mute: w.mute,
 		}
@@ -106,7 +120,13 @@
 		if w == nil || !sound || o.Started < w.Started {
 			continue
 		}
-		w.Started = o.Started // a restart that a probe has shown
+		if o.Started > w.Started || o.WarmFrom == 0 { // a restart that a probe has shown, or others tell of
+			w.warmFrom = min(o.Started, now)
+		}
+		if o.WarmFrom > w.warmFrom || o.Started == w.Started && o.WarmFrom > 0 {
+			w.warmFrom = min(o.WarmFrom, now)
+		}
+		w.Started = o.Started
 		w.fails, w.probeFails, w.mute, w.probed = o.Fails, o.ProbeFails, o.Mute, o.Probed
 		w.until = min(o.Until, now+time.Minute)
 		w.guess, w.pace, w.paceAt = max(o.Guess, 1), o.Pace, min(o.PaceAt, now)
--- a/balance/moved.go
+++ b/balance/moved.go
@@ -24,6 +24,24 @@
 	Out, Never                     bool
 }
 
+// Shift moves all times, to those of another clock. A time of 0, which stands for none, stays.
+func (m *Moved) Shift(by time.Duration) {
+	shift(by, &m.Aim, &m.End)
+	for i := range m.Tries {
+		t := &m.Tries[i]
+		shift(by, &t.Sent, &t.Started, &t.Heard, &t.SharedAt)
+	}
+}
+
+// shift moves times that are not 0.
+func shift(by time.Duration, times ...*time.Duration) {
+	for _, t := range times {
+		if *t != 0 {
+			*t += by
+		}
+	}
+}
+
 // Out counts the attempts of an open request that are out, and names the last of them; ok is false where there is no
 // such request.
 func (b *Balancer) Out(id string) (out, last int, ok bool) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -52,6 +52,8 @@
 	probeFails       int
 	mute             bool          // its last probe brought no answer
 	toldStart        time.Duration // its last start as the list tells it
+	warmFrom         time.Duration // from when on it warms up, by this balancer's clock; 0: it is warm
+	shownAt          time.Duration // when a probe has shown a restart of which the list has not told yet; 0: none
 	heard            time.Duration // last sign of life
 	reach            time.Duration // what a new connection to its zone may take
 	turn             int           // this balancer's place among those that may send to it while it is cold
@@ -415,10 +417,13 @@
 	if w == nil {
 		w = b.stranger(m)
 		w.probed, w.jitter = b.now, b.chance()/4
-	} else if m.Started > w.Started { // restarted: what was known of it is void
+	} else if m.Started > w.Started && (w.shownAt == 0 || m.Started <= b.now) { // restarted: what was known of it is void
 		w.restarted()
 		w.probed = 0 // probe at once
 	}
+	if m.Started > w.toldStart {
+		b.warmsUp(w, m)
+	}
 	if known := m.Started; known <= w.toldStart { // the list has not heard yet of a restart that a probe has shown
 		m.Started = max(known, w.Started)
 	} else {
@@ -437,6 +442,24 @@
 	}
 }
 
+// listLate is how much later than it happened the list may tell of a start.
+const listLate = 6 * time.Second
+
+// warmsUp settles from when on a worker warms up that has started as the list tells. Guards against a wall clock that is off from
+// the list's: a start of an hour ago that is news is none, nor is one that is still to come; the worker counts as cold from now.
+func (b *Balancer) warmsUp(w *worker, m Worker) {
+	age := b.now - m.Started
+	switch off := age < 0 || m.Within > 0 && age > m.Within+listLate; {
+	case off && w.shownAt > 0: // this restart, most likely
+		w.warmFrom = w.shownAt
+	case off:
+		w.warmFrom = b.now
+	default:
+		w.warmFrom = max(m.Started, w.shownAt)
+	}
+	w.shownAt = 0
+}
+
 // turn is this balancer's place among those that may send to a worker while it is cold, the last of all once it has
 // yielded.
 func (b *Balancer) turn(id string) int {
--- a/internal/config/group.go
+++ b/internal/config/group.go
@@ -20,6 +20,7 @@
 	Version int64
 	Full    bool
 	Peers   []Peer
+	Quiet   time.Duration `json:"-"` // how long before this message discovery was last heard; 0: not known
 }
 
 // With returns the group after a message of discovery: the whole list, or this one with the entries that changed.
@@ -68,6 +69,7 @@
 	list := make([]balance.Worker, len(g.Peers))
 	for i, p := range g.Peers {
 		list[i] = p.Worker
+		list[i].Within = g.Quiet
 	}
 	return list
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -35,6 +35,7 @@
 	addr    string
 	version int64           // of the last message
 	stop    func()          // ends the watch that is on
+	heard   time.Time       // when a message, or a line between two, last ended; zero: none has yet
 	here    context.Context // ends when discovery moves
 	moved   func()
 }
@@ -119,7 +120,7 @@
 // changed: silence for longer means that it is cut off, though the connection stays open. A message may be spread
 // over several lines.
 func (c *Client) follow(ctx context.Context, conn net.Conn, body io.Reader) error {
-	live := &lines{conn: conn, r: body, silence: c.limits.ListSilence, most: c.limits.ListBytes}
+	live := &lines{conn: conn, r: body, silence: c.limits.ListSilence, most: c.limits.ListBytes, beat: c.beat}
 	in := json.NewDecoder(live)
 	for first := true; ; first = false {
 		var text json.RawMessage
@@ -138,8 +139,9 @@
 	conn    net.Conn
 	r       io.Reader
 	silence time.Duration
-	most    int // bytes of a message
-	since   int // bytes since the last message
+	most    int    // bytes of a message
+	since   int    // bytes since the last message
+	beat    func() // told of each line between two messages
 }
 
 // Read implements io.Reader.
@@ -149,6 +151,7 @@
 		l.conn.SetDeadline(time.Now().Add(l.silence))
 		if len(bytes.TrimSpace(p[:n])) == 0 && l.since == n { // between messages
 			l.since = 0
+			l.beat()
 		}
 	}
 	if l.since > l.most+len(p) {
@@ -157,6 +160,13 @@
 	return n, err
 }
 
+// beat takes a line between two messages: nothing has changed up to now.
+func (c *Client) beat() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = time.Now()
+}
+
 // whole reads a whole list.
 func (c *Client) whole(ctx context.Context, _ net.Conn, body io.Reader) error {
 	text, err := io.ReadAll(io.LimitReader(body, int64(c.limits.ListBytes)))
@@ -186,7 +196,10 @@
 	if g.Version < c.version && !(first && g.Full) {
 		kind, g = balance.ListChanges, config.Group{Version: c.version}
 	}
-	c.version = g.Version
+	if !c.heard.IsZero() {
+		g.Quiet = time.Since(c.heard)
+	}
+	c.version, c.heard = g.Version, time.Now()
 	c.events.Listed(kind, g)
 	return nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,9 @@
 	return time.Duration(r.start.UnixNano()) + time.Since(r.start)
 }
 
+// Now reads the Balancer's clock.
+func (r *Stage) Now() time.Duration { return r.now() }
+
 // Held is closed once an upstream group is held.
 func (r *Stage) Held() <-chan struct{} { return r.held }
 
--- a/internal/fleet/seat/disk_test.go
+++ b/internal/fleet/seat/disk_test.go
@@ -21,17 +21,17 @@
 // still is a node that does nothing.
 type still struct{}
 
-func (still) State() wire.State                                 { return wire.Serving }
-func (still) SentAway() bool                                    { return false }
-func (still) Idle() bool                                        { return true }
-func (still) Drain()                                            {}
-func (still) Resume()                                           {}
-func (still) Told(bool)                                         {}
-func (still) Apply(*revision.Revision)                          {}
-func (still) Applied() []Applied                                { return nil }
-func (still) Settled()                                          {}
-func (still) Counts() map[string]rollout.Count                  { return nil }
-func (still) Known() (map[string]balance.Known, map[string]int) { return nil, nil }
+func (still) State() wire.State                                                { return wire.Serving }
+func (still) SentAway() bool                                                   { return false }
+func (still) Idle() bool                                                       { return true }
+func (still) Drain()                                                           {}
+func (still) Resume()                                                          {}
+func (still) Told(bool)                                                        {}
+func (still) Apply(*revision.Revision)                                         {}
+func (still) Applied() []Applied                                               { return nil }
+func (still) Settled()                                                         {}
+func (still) Counts() map[string]rollout.Count                                 { return nil }
+func (still) Known() (map[string]balance.Known, map[string]int, time.Duration) { return nil, nil, 0 }
 
 // full is a store whose disk is full for a while.
 type full struct {
--- a/internal/fleet/seat/drainer.go
+++ b/internal/fleet/seat/drainer.go
@@ -1,6 +1,7 @@
 package seat
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -100,11 +101,11 @@
 	defer d.mu.Unlock()
 	for _, p := range d.group.Peers {
 		w, k := council.Worker{ID: p.ID, Site: p.Zone, Kind: p.Kind}, know[p.ID]
-		started := max(p.Started, k.Started)
+		from := cmp.Or(k.WarmFrom, k.Started, p.Started) // by the Balancer's clock where it has told
 		switch {
 		case p.State != balance.Ready:
 			w.Out = "discovery ends it"
-		case started > 0 && now-started < coldFor:
+		case from > 0 && now-from < coldFor:
 			w.Out = "cold"
 		case k.Fails > 1 || k.ProbeFails > 1:
 			w.Out = "errs, or does not answer"
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -38,8 +38,9 @@
 
 	// Counts is what clients have been answered, by class.
 	Counts() map[string]rollout.Count
-	// Known is what the Balancer knows of workers, and its room by class; it is asked of a seat alone. nil: nothing yet.
-	Known() (workers map[string]balance.Known, room map[string]int)
+	// Known is what the Balancer knows of workers, its room by class, and what its clock reads now; it is asked of a seat alone.
+	// nil: nothing yet.
+	Known() (workers map[string]balance.Known, room map[string]int, now time.Duration)
 }
 
 // Applied is what has become of a revision of the fleet's settings at a node.
@@ -145,9 +146,8 @@
 	o := council.Own{Whole: !s.begun, Counts: s.host.Counts(), Quiet: d.isQuiet}
 	d.look()
 	if s.core.HasSeat() {
-		var known map[string]balance.Known
-		known, o.Room = s.host.Known()
-		o.Workers = d.workers(time.Duration(time.Now().UnixNano()), s.c.ColdFor, known)
+		known, room, now := s.host.Known()
+		o.Room, o.Workers = room, d.workers(now, s.c.ColdFor, known)
 	}
 	return o
 }
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -42,6 +42,24 @@
 	Work    *Work              `json:",omitempty"`
 
 	Settings []byte `json:",omitempty"` // of Taken: the revision of the fleet's settings that is in force
+
+	// Clocks dates all times of the message; nil: its sender is of a version whose times are the wall clock's.
+	Clocks *Clocks `json:",omitempty"`
+}
+
+// Clocks is what two clocks of the sender read at one instant: the machine's monotonic one, which the receiver reads too, and
+// that of the sender's decisions, by which Knowledge and State are dated.
+type Clocks struct {
+	Machine   time.Duration
+	Decisions time.Duration
+}
+
+// Shift is what times of the sender's decisions have to be moved by to be the receiver's, whose clocks are own.
+func (c *Clocks) Shift(own Clocks) time.Duration {
+	if c == nil {
+		return 0
+	}
+	return (own.Decisions - own.Machine) - (c.Decisions - c.Machine)
 }
 
 // Work is an open request as it goes to another process.
@@ -50,7 +68,8 @@
 	Class                           balance.Class // under which it was taken
 	Header                          map[string][]string
 	Body                            []byte
-	Arrived, Deadline               time.Time
+	Arrived, Deadline               time.Time     // by the wall clock, for versions that know no other
+	ArrivedAt, DeadlineAt           time.Duration // by the machine's monotonic clock; 0: not told
 	State                           balance.Moved
 	Last                            bool   // its client's connection ends with the answer
 	Ahead                           []byte // what its client has sent beyond it
--- a/internal/node/council.go
+++ b/internal/node/council.go
@@ -61,10 +61,10 @@
 }
 
 // Known implements seat.Host.
-func (h host) Known() (workers map[string]balance.Known, room map[string]int) {
+func (h host) Known() (workers map[string]balance.Known, room map[string]int, now time.Duration) {
 	l := h.f.last.Load()
 	if l == nil {
-		return nil, nil
+		return nil, nil, 0
 	}
 	room = map[string]int{}
 	n := h.f.n
@@ -74,7 +74,7 @@
 	for i, r := range l.rooms[:min(len(l.rooms), len(names))] {
 		room[names[i]] = r
 	}
-	return l.know, room
+	return l.know, room, h.f.n.route.Now()
 }
 
 // held reports whether clients are to wait until the node has heard which workers are drained, and what the fleet's settings
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -220,7 +220,7 @@
 	if f.drainer != nil {
 		l.know = map[string]balance.Known{}
 		for _, w := range k.Workers {
-			l.know[w.ID] = balance.Known{ID: w.ID, Started: w.Started, Fails: w.Fails, ProbeFails: w.ProbeFails}
+			l.know[w.ID] = balance.Known{ID: w.ID, Started: w.Started, WarmFrom: w.WarmFrom, Fails: w.Fails, ProbeFails: w.ProbeFails}
 		}
 	}
 	f.last.Store(l)
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -69,9 +69,10 @@
 		}
 		return true
 	}
+	clocks := s.n.clocks()
 	w := &handover.Work{
 		ClassName: c.ClassName, Method: c.Method, Target: c.Target, Host: c.Host, Class: s.n.class(c.Class), Header: c.Header, Body: c.Body,
-		Arrived: c.Arrived, Deadline: c.Deadline, State: m, Last: last, Ahead: ahead,
+		Arrived: c.Arrived, Deadline: c.Deadline, ArrivedAt: clocks.Machine - time.Since(c.Arrived), DeadlineAt: clocks.Machine + time.Until(c.Deadline), State: m, Last: last, Ahead: ahead,
 	}
 	pass := []any{client}
 	if d != nil {
@@ -80,18 +81,18 @@
 	s.mu.Lock()
 	l := s.heir
 	s.mu.Unlock()
-	if l != nil && l.Send(handover.Message{Kind: handover.Job, Work: w}, pass...) == nil {
+	if l != nil && l.Send(handover.Message{Kind: handover.Job, Work: w, Clocks: &clocks}, pass...) == nil {
 		for _, p := range pass {
 			p.(net.Conn).Close()
 		}
 		return true
 	}
-	s.adopt(w, pass) // the other process is gone
+	s.adopt(w, &clocks, pass) // the other process is gone
 	return true
 }
 
 // adopt goes on with a request that came from another process.
-func (s *succession) adopt(w *handover.Work, passed []any) {
+func (s *succession) adopt(w *handover.Work, clocks *handover.Clocks, passed []any) {
 	conns := make([]net.Conn, len(passed))
 	for i, p := range passed {
 		conns[i], _ = p.(net.Conn)
@@ -107,7 +108,10 @@
 	}
 	c := request.New()
 	c.Request, c.ClassName, c.Method, c.Target, c.Host = w.State.Request, w.ClassName, w.Method, w.Target, w.Host
-	c.Header, c.Body, c.Arrived, c.Deadline = w.Header, w.Body, w.Arrived, w.Deadline
+	c.Header, c.Body = w.Header, w.Body
+	own := s.n.clocks()
+	c.Arrived, c.Deadline = s.dated(own, w.ArrivedAt, w.Arrived), s.dated(own, w.DeadlineAt, w.Deadline)
+	w.State.Shift(clocks.Shift(own))
 	s.start(conns[0], func() {
 		var err error
 		if c.Class, err = s.n.place(w.Class); err != nil {
@@ -129,6 +133,14 @@
 	})
 }
 
+// dated returns a time of another process: by the machine's monotonic clock, or by the wall clock where it tells no other.
+func (s *succession) dated(own handover.Clocks, at time.Duration, wall time.Time) time.Time {
+	if at == 0 {
+		return wall
+	}
+	return time.Now().Add(at - own.Machine)
+}
+
 // carry waits for the answer of an adopted request and gives it to its client. The connection then goes on as any other.
 func (n *Node) carry(c *request.Context, client *carried, admitted, last bool) {
 	client.watch()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	conns    *connections
 	peers    *transport.Stage
 	memory   func(bytes int64)
+	uptime   func() time.Duration // the machine's monotonic clock
 	mu       sync.Mutex
 	timed    config.Limits // limits with what the settings in force make of them
 	settled  config.Limits // as the settings in force give them
@@ -93,6 +94,7 @@
 	}
 	n.book.Wanted(c.Settings.Balance.Classes)
 	n.readyBy = time.Now().Add(c.Limits.ReadyWait)
+	n.uptime = m.Monotonic
 	n.memory, n.fleet, n.overlay = m.Memory, newFleet(n, m, c, log), newOverlay(c)
 	work, stop := context.WithCancel(context.Background()) // goes on while the node drains
 	defer stop()
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -71,6 +71,7 @@
 		m, _, err = l.Receive(limits.HandWait)
 	}
 	if err == nil && m.Kind == handover.Taken && m.Know != nil {
+		m.Know.Shift(m.Clocks.Shift(s.n.clocks()))
 		s.n.route.Learn(*m.Know)
 		s.n.overlay.inherit(ctx, m.Settings, limits.HandWait)
 	} else if err == nil {
@@ -101,7 +102,7 @@
 				return
 			}
 			if m.Kind == handover.Job {
-				s.adopt(m.Work, passed)
+				s.adopt(m.Work, m.Clocks, passed)
 			}
 			for _, c := range passed {
 				if c, ok := c.(net.Conn); ok && m.Kind == handover.Client {
@@ -230,7 +231,8 @@
 	s.n.fleet.yield()
 	s.n.resize(true)
 	know := s.n.route.Yield(true)
-	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know, Settings: s.n.overlay.bequeath()}); err != nil {
+	clocks := s.n.clocks()
+	if err := l.Send(handover.Message{Kind: handover.Taken, Know: &know, Settings: s.n.overlay.bequeath(), Clocks: &clocks}); err != nil {
 		return err
 	}
 	s.n.log.Info("another process takes clients from now on", "open", s.n.admit.Open(), "connections", s.n.conns.count())
@@ -253,6 +255,11 @@
 	return nil
 }
 
+// clocks reads the clocks by which a hand-over's times are dated.
+func (n *Node) clocks() handover.Clocks {
+	return handover.Clocks{Machine: n.uptime(), Decisions: n.route.Now()}
+}
+
 // behind reports whether the process whose place this one has taken still lives.
 func (s *succession) behind() bool {
 	s.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,8 @@
 	"net"
 	"runtime/debug"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Dial opens a TCP connection to an address (host:port). It fails after wait, or when ctx ends. purpose says what
@@ -54,6 +56,8 @@
 	// Rest returns once all else that happens at this instant has happened; nil: there is no waiting for that. The owner of
 	// a part that reads what others write calls it, so that a simulation gives the same trace each time.
 	Rest func()
+	// Monotonic reads a clock that is the same for all processes of the machine and that no step of its wall clock moves.
+	Monotonic func() time.Duration
 	// Random returns a number that no other process is given.
 	Random func() uint64
 	// Memory sets how many bytes the process may use before garbage is collected harder; nil: nothing is set.
@@ -68,6 +72,11 @@
 			return (&net.Dialer{Timeout: wait, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 		},
 		Datagrams: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp4", addr) },
+		Monotonic: func() time.Duration {
+			var t unix.Timespec
+			unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it never fails for this clock
+			return time.Duration(t.Nano())
+		},
 		Random: func() uint64 {
 			var b [8]byte
 			rand.Read(b[:]) // it never fails
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -260,17 +260,17 @@
 }
 
 // Known implements seat.Host.
-func (h host) Known() (map[string]balance.Known, map[string]int) {
+func (h host) Known() (map[string]balance.Known, map[string]int, time.Duration) {
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
 	known, room := map[string]balance.Known{}, map[string]int{}
 	for _, p := range h.n.group.Peers {
-		known[p.ID] = balance.Known{ID: p.ID, Started: p.Started}
+		known[p.ID] = balance.Known{ID: p.ID, Started: p.Started, WarmFrom: p.Started}
 	}
 	for _, name := range h.n.c.Settings.ClassNames() {
 		room[name] = len(known)
 	}
-	return known, room
+	return known, room, time.Duration(time.Now().UnixNano())
 }
 
 // Reload puts a configuration into effect, as at SIGHUP: it is read anew and checked against the running one, and discovery is
--- a/internal/sim/gossip.go
+++ b/internal/sim/gossip.go
@@ -54,7 +54,7 @@
 func (n *simNode) machine() platform.Machine {
 	r := rand.New(rand.NewPCG(n.conf.Seed, 17))
 	n.gossip = &simNode{w: n.w, index: n.index + 1000, life: n.life, turn: make(chan struct{})}
-	return platform.Machine{Dial: n.dial, Order: simOrder{n}, Datagrams: n.datagrams, Random: r.Uint64, Rest: simOrder{n.gossip}.Settle}
+	return platform.Machine{Dial: n.dial, Monotonic: func() time.Duration { return n.w.now() }, Order: simOrder{n}, Datagrams: n.datagrams, Random: r.Uint64, Rest: simOrder{n.gossip}.Settle}
 }
 
 // socket is a process's for datagrams.
