One guard for sending, repeating, closing and slow start, with counts; why attempts end

Change: package guard: a ledger of each request's attempts at the place where they are written (it forbids a repeat that the class does not allow, whatever was decided), checks after each write (client left, worker drained, time told), of answers' times and of connections closed with a request owed, and of slow start in the decisions; gw_invariant_violations, gw_attempts_withheld, gw_attempts_ended, gw_connections_closed, gw_answers by reason; violations are logged with ids. Right before an attempt's first byte the client's socket is looked at: its close may lie there unread. A connection goes to the next attempt only once the one before has been written whole: a worker may answer earlier. The simulation judges nodes' own checks too. Slow start has a file of its own in the decision module.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,9 +20,6 @@
 // the more nodes compare, the more of them choose the same few.
 const look = 2
 
-// turns is how many balancers may send to a cold worker; their parts together are just under what it bears.
-const turns = 4
-
 // Members takes a list of workers, or the failure to get one.
 func (b *Balancer) Members(now time.Duration, kind List, list []Worker) {
 	if b.now = now; b.lastReq == 0 {
@@ -609,36 +606,12 @@
 	}
 }
 
-// warmth is the share of its capacity that a worker has at least at this time.
-func (b *Balancer) warmth(w *worker) float64 {
-	if w.warmFrom <= 0 || b.s.ColdFor <= 0 || b.s.ColdFrom <= 0 {
-		return 1
-	}
-	age := min(max((b.now-w.warmFrom).Seconds()/b.s.ColdFor.Seconds(), 0), 1)
-	return b.s.ColdFrom + (1-b.s.ColdFrom)*age
-}
-
-// mayCold guards a worker that has just started: its report shows every slot free, but it falls over when all
-// balancers send it more than a multiple of what it can do at present. Few balancers may, the same ones by
-// its id at each of them: the first 0.48 of that in any window, the next a half, a third and a fourth of it.
-func (b *Balancer) mayCold(w *worker, r *request) bool {
-	f, own := b.warmth(w), w.sentSince(b.now-b.s.FallAfter)
-	if f >= 1 || b.s.FallMultiple <= 0 {
-		return true
-	}
-	size := max(w.capSlots, b.slots[w.Kind])
-	if size == 0 { // neither it nor one like it has ever reported
-		return w.turn == 0 && own == 0 && b.grown()
-	}
-	budget := b.s.FallMultiple * f * size * b.s.FallAfter.Seconds()
-	return w.turn < turns && b.grown() && 2.1*float64(w.turn+1)*(own+b.work(r)) <= budget
-}
-
 func (b *Balancer) send(r *request, w *worker) {
 	a := &attempt{r: r, w: w, sent: b.now, out: true}
 	r.attempts = append(r.attempts, a)
 	w.out, b.waits = append(w.out, a), append(b.waits, a)
 	w.events = append(w.events, event{b.now, -r.Slots, -r.Memory, b.work(r)})
+	b.checkSlowStart(w, r)
 	b.act.Send(r.ID, w.ID)
 	if b.s.TellsStart {
 		b.act.After(b.startsBy(w), "") // to see whether it waits
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -122,6 +121,7 @@
 	asked    int                // probes on demand not answered yet
 	askEnd   time.Duration      // until when a dispatch waits for them
 	slots    map[string]float64 // the most slots seen free at a worker of each kind
+	breaches int                // sends that no slow start allows, whoever else sends
 }
 
 // release takes the attempt's charge off.
@@ -178,14 +178,6 @@
 	return work
 }
 
-// share is what each slot of a job gets of a core where a cold worker runs nothing else.
-func (b *Balancer) share(w *worker, r *request) float64 {
-	if w.capSlots == 0 {
-		return 1 // its size is not known
-	}
-	return min(w.capSlots*b.warmth(w)/r.Slots, 1)
-}
-
 // queued is how many jobs waited at a worker by its last report. Where reports do not tell, it is what the worker held
 // beyond one job a taken slot. Guards against slots that are free only because a large job at the head of the queue does
 // not fit: they look like room to every node, and all send there.
@@ -258,10 +250,6 @@
 	b.act.Watch()
 }
 
-// grown reports whether all that this node may have sent within the window of a cold worker's budget is known. Guards against
-// a process that was killed and starts anew: it would spend again what the one before it has spent.
-func (b *Balancer) grown() bool { return b.now-b.born >= b.s.FallAfter }
-
 // ran learns a class's running time. The aim is its first guess; jobs that run longer teach fast at first, which guards against
 // a node that has just started and takes jobs for far smaller than they are: a cold worker would pay for it.
 func (b *Balancer) ran(class int, took float64) {
@@ -442,36 +430,6 @@
 	}
 }
 
-// listLate is how much later than it happened the list may tell of a start.
-const listLate = 6 * time.Second
-
-// warmsUp settles from when on a worker warms up that has started as the list tells. Guards against a wall clock that is off from
-// the list's: a start of an hour ago that is news is none, nor is one that is still to come; the worker counts as cold from now.
-func (b *Balancer) warmsUp(w *worker, m Worker) {
-	age := b.now - m.Started
-	switch off := age < 0 || m.Within > 0 && age > m.Within+listLate; {
-	case off && w.shownAt > 0: // this restart, most likely
-		w.warmFrom = w.shownAt
-	case off:
-		w.warmFrom = b.now
-	default:
-		w.warmFrom = max(m.Started, w.shownAt)
-	}
-	w.shownAt = 0
-}
-
-// turn is this balancer's place among those that may send to a worker while it is cold, the last of all once it has
-// yielded.
-func (b *Balancer) turn(id string) int {
-	if b.yielded {
-		return math.MaxInt32
-	}
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	n := uint32(b.s.Balancers)
-	return int((uint32(b.s.Me)%n + n - h.Sum32()%n) % n)
-}
-
 // Check names the setting that cannot be right.
 func (s *Settings) Check() error {
 	if len(s.Classes) == 0 {
--- a/internal/accounting/accounting.go
+++ b/internal/accounting/accounting.go
@@ -5,12 +5,14 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/request"
 )
 
@@ -22,10 +24,11 @@
 	mu    sync.Mutex
 	tally map[string]*Tally // by class
 	count [request.Verdicts]int
-	lost  int           // answers that the client did not take
-	took  time.Duration // by all requests that were served
-	noted int           // requests told in the log so far
-	timer *time.Timer   // nil once the books are closed
+	lost  int              // answers that the client did not take
+	why   map[string]int64 // answers that were no result, by reason
+	took  time.Duration    // by all requests that were served
+	noted int              // requests told in the log so far
+	timer *time.Timer      // nil once the books are closed
 }
 
 // Tally is what the books hold of one class, counted from the start.
@@ -44,7 +47,7 @@
 
 // New returns the stage. The books hold the given classes from the start.
 func New(l config.Limits, classes []string, log *slog.Logger) *Stage {
-	s := &Stage{limits: l, log: log, tally: map[string]*Tally{}}
+	s := &Stage{limits: l, log: log, tally: map[string]*Tally{}, why: map[string]int64{}}
 	s.Classes(classes)
 	s.timer = time.AfterFunc(l.BookEvery, s.tell)
 	return s
@@ -117,6 +120,9 @@
 	v := c.Answer().Verdict
 	s.count[v]++
 	s.tally[c.ClassName].add(v)
+	if v != request.Served && v != request.Moved {
+		s.why[reason(c.Answer())]++
+	}
 	if !taken && v != request.Gone && v != request.Moved {
 		s.lost++
 	}
@@ -131,6 +137,25 @@
 		"took_ms", took.Milliseconds(), "hint_ms", c.Work.Milliseconds(), "slots", c.Slots, "memory", c.Memory)
 }
 
+// reason names why an answer is no result. Answers to faulty requests and to nobody are named by their verdict alone: their words
+// hold what clients have sent.
+func reason(a request.Answer) string {
+	if a.Verdict == request.Refused || a.Verdict == request.Failed {
+		return a.Reason
+	}
+	return a.Verdict.String()
+}
+
+// Reasons lists how many answers were no result, by reason.
+func (s *Stage) Reasons() (list []guard.Count) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(s.why)) {
+		list = append(list, guard.Count{Name: name, Value: s.why[name]})
+	}
+	return list
+}
+
 func (s *Stage) tell() {
 	s.Tell()
 	s.mu.Lock()
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,6 +10,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/request"
 )
 
@@ -59,7 +60,7 @@
 	if !ok {
 		return refuse(c, request.UnknownClass, fmt.Sprintf("no class %q", c.ClassName))
 	}
-	c.Class = class
+	c.Class, c.Policy = class, guard.PolicyOf(now.all[class])
 	if now.all[class].Effect == balance.Keyed && c.Header.Get("Idempotency-Key") == "" {
 		return refuse(c, request.Malformed, "Idempotency-Key: missing")
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 )
@@ -60,8 +61,27 @@
 	viewNext        bool   // they will be taken again
 	look            func() // posts that; made once
 	known, excluded atomic.Int64
+	breaches        atomic.Int64
+	ends            [len(resultNames)]atomic.Int64 // attempts by result
 }
 
+// resultNames are the results of attempts as the figures name them.
+var resultNames = [...]string{
+	balance.OK: "ok", balance.Error: "error", balance.Full: "turned_away", balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
+	balance.Cancelled: "called_off", balance.Moot: "withheld", balance.Rejected: "rejected",
+}
+
+// AttemptEnds lists how many attempts have ended, by result.
+func (r *Stage) AttemptEnds() (list []guard.Count) {
+	for i, name := range resultNames {
+		list = append(list, guard.Count{Name: name, Value: r.ends[i].Load()})
+	}
+	return list
+}
+
+// Breaches is how many sends the Balancer has decided on that no slow start allows.
+func (r *Stage) Breaches() int64 { return r.breaches.Load() }
+
 // New returns the stage, or an error that names the setting that cannot be right. The figures of the upstream group are
 // taken at most every viewEvery; never if that is 0.
 func New(s balance.Settings, seed uint64, viewEvery time.Duration, order platform.Order, log *slog.Logger) (*Stage, error) {
@@ -127,6 +147,7 @@
 	r.viewed = time.Now()
 	r.known.Store(int64(known))
 	r.excluded.Store(int64(excluded))
+	r.breaches.Store(int64(r.b.Breaches()))
 }
 
 // View returns how many peers the upstream group holds, and how many of them get no jobs. It does not wait.
@@ -341,6 +362,7 @@
 // Ended posts the end of a try. The first result goes to the client from here, and ends the request; so does a
 // peer's word that the request is at fault, since no other peer would take it either.
 func (r *Stage) Ended(o balance.Outcome, result string) {
+	r.ends[o.Result].Add(1)
 	r.box.post(platform.Source{Kind: platform.Try, ID: o.Request, N: o.Attempt}, func() {
 		e := r.open[o.Request]
 		if e == nil {
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,46 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"swiftdeal/balance"
+)
+
+// A repeat of what may have run is allowed as the class has it, and of what surely never ran always.
+func TestLedger(t *testing.T) {
+	start := time.Now()
+	first := Target{"w1", "a", "1"}
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		never  bool
+		to     Target
+		after  time.Duration
+		may    bool
+	}{
+		{"safe", Policy{Effect: balance.Safe}, false, Target{"w2", "b", "2"}, time.Hour, true},
+		{"unsafe that may have run", Policy{Effect: balance.Unsafe}, false, Target{"w2", "a", "1"}, 0, false},
+		{"unsafe that never ran", Policy{Effect: balance.Unsafe}, true, Target{"w2", "b", "2"}, 0, true},
+		{"keyed in its window", Policy{balance.Keyed, balance.AllWorkers, time.Second}, false, Target{"w2", "b", "2"}, time.Second - 1, true},
+		{"keyed past its window", Policy{balance.Keyed, balance.AllWorkers, time.Second}, false, Target{"w2", "b", "2"}, time.Second, false},
+		{"keyed past its window, never ran", Policy{balance.Keyed, balance.AllWorkers, time.Second}, true, Target{"w2", "b", "2"}, time.Second, true},
+		{"same zone", Policy{balance.Keyed, balance.SameZone, time.Second}, false, Target{"w2", "a", "2"}, 0, true},
+		{"another zone", Policy{balance.Keyed, balance.SameZone, time.Second}, false, Target{"w2", "b", "1"}, 0, false},
+		{"same cell", Policy{balance.Keyed, balance.SameCell, time.Second}, false, Target{"w2", "b", "1"}, 0, true},
+		{"another cell", Policy{balance.Keyed, balance.SameCell, time.Second}, false, Target{"w2", "a", "2"}, 0, false},
+	} {
+		for _, imported := range []bool{false, true} {
+			l := &Ledger{}
+			if imported {
+				l.Import(0, first, start, c.never)
+			} else if why := l.Begin(c.policy, 0, first, start); why != "" {
+				t.Fatalf("%s: the first is refused: %s", c.name, why)
+			}
+			l.End(0, c.never)
+			if why := l.Begin(c.policy, 1, c.to, start.Add(c.after)); (why == "") != c.may {
+				t.Errorf("%s: %q", c.name, why)
+			}
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -51,6 +51,9 @@
 	headBy   time.Time     // the rest of the head that has begun there must have come by then; zero: none has begun
 
 	open    bool      // a request has been taken, and the connection has not rested since
+	replied bool      // something of an answer to it has been written
+	ended   bool      // reading has met the client's end
+	owed    func()    // told where the connection is closed with a request that was taken and not answered; nil: nobody is
 	tookAt  time.Time // when bytes were last read
 	aheadAt time.Time // when the head in hand began, if it came behind an open request
 }
@@ -214,7 +217,15 @@
 	c.give = nil
 	lingers := give == nil && c.answered && c.socket && c.linger > 0 && !c.evicted && !c.lingers && c.CloseWrite() == nil
 	c.lingers = c.lingers || lingers
+	owed := c.owed
+	if !c.open || c.replied || c.ended || c.evicted || (c.socket && c.in.Ended()) {
+		owed = nil
+	}
+	c.open = false
 	c.mu.Unlock()
+	if owed != nil {
+		owed()
+	}
 	if give != nil {
 		c.Conn.SetDeadline(time.Time{})
 		give(c.Conn)
@@ -270,7 +281,7 @@
 // request, and whether it leaves does not matter any more.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.answered = true
+	c.answered, c.replied = true, true
 	reads := c.ahead != nil
 	c.mu.Unlock()
 	if reads {
@@ -307,9 +318,34 @@
 	if c.evicted { // a request that was read since is not answered, and so not served either
 		return 0, net.ErrClosed
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.ended = true
+	}
 	return n, err
 }
 
+// Present reports whether the client is there, by a look at what the system holds: its end may not have been read yet.
+func (c *Conn) Present() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.ended && !(c.socket && c.in.Ended())
+}
+
+// OnOwed has lost called where the connection is closed with a request that was taken and not answered, while its client is there.
+func (c *Conn) OnOwed(lost func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed = lost
+}
+
+// present returns how a request's client is looked for; nil where that cannot be.
+func present(r *http.Request) func() bool {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		return c.Present
+	}
+	return nil
+}
+
 // readSystem reads what the system holds.
 func (c *Conn) readSystem(p []byte) (int, error) {
 	if c.socket {
@@ -336,8 +372,8 @@
 func (c *Conn) take(body int64) ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered, c.resting, c.open = false, false, true // a request begins
-	if !c.aheadAt.IsZero() {                           // its client's time has run since it came
+	c.answered, c.resting, c.open, c.replied = false, false, true, false // a request begins
+	if !c.aheadAt.IsZero() {                                             // its client's time has run since it came
 		c.waited += time.Since(c.aheadAt)
 		c.aheadAt = time.Time{}
 	}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/ingress"
 )
 
@@ -17,11 +19,19 @@
 // client needs.
 type connections struct {
 	limits config.Limits
+	guard  *guard.Monitor
 	mu     sync.Mutex
 	open   map[net.Conn]stand
 	taken  int            // connections accepted so far
 	room   chan struct{}  // told of each connection that ends or becomes idle
 	give   func(net.Conn) // takes those that are idle, while another process takes clients; else nil
+
+	evicted, drained atomic.Int64 // closed by the node, to make room and to send clients away
+}
+
+// closed lists how many connections the node has closed by itself, by reason.
+func (c *connections) closed() []guard.Count {
+	return []guard.Count{{Name: "makes_room", Value: c.evicted.Load()}, {Name: "sent_away", Value: c.drained.Load()}}
 }
 
 // stand is what a connection is at.
@@ -86,6 +96,7 @@
 			l.c.mu.Unlock()
 			own.Waited(waited + time.Since(accepted))
 			own.HeadWait(l.c.limits.HeadWait)
+			own.OnOwed(func() { l.c.guard.Violated(guard.RequestAnswered, "client", raw.RemoteAddr()) })
 			return conn, nil
 		}
 		l.c.mu.Unlock()
@@ -137,6 +148,7 @@
 			continue
 		}
 		delete(c.open, least)
+		c.evicted.Add(1)
 		return true, 0
 	}
 }
@@ -264,7 +276,10 @@
 		}
 		if s.state != http.StateActive && s.state != http.StateClosed && time.Since(s.since) >= wait {
 			if own, ok := conn.(*ingress.Conn); ok {
-				own.Give(func(c net.Conn) { c.Close() })
+				own.Give(func(conn net.Conn) {
+					c.drained.Add(1)
+					conn.Close()
+				})
 			} else {
 				conn.Close()
 			}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -7,6 +7,7 @@
 
 	"swiftdeal/internal/accounting"
 	"swiftdeal/internal/control"
+	"swiftdeal/internal/guard"
 )
 
 // standing is whether the node takes clients.
@@ -128,6 +129,13 @@
 		control.One("gw_reloads_ok", "Configurations taken at SIGHUP.", false, n.reloadsOK.Load()),
 		control.One("gw_reloads_failed", "Configurations turned down at SIGHUP.", false, n.reloadsFailed.Load()),
 	}
+	violations := n.guard.Violations()
+	violations[guard.SlowStart].Value += n.route.Breaches()
+	list = append(list, counts("gw_invariant_violations", "Acts that broke what the node promises: always 0, or a defect.", "invariant", violations),
+		counts("gw_attempts_withheld", "Attempts that were overtaken by events and not written, by reason.", "reason", n.guard.AttemptsWithheld()),
+		counts("gw_attempts_ended", "Attempts that have ended, by result.", "result", n.route.AttemptEnds()),
+		counts("gw_connections_closed", "Clients' connections that the node has closed by itself, by reason.", "reason", n.conns.closed()),
+		counts("gw_answers", "Answers that were no result, by reason.", "reason", n.book.Reasons()))
 	of := []func(accounting.Tally) int64{
 		func(t accounting.Tally) int64 { return t.Served }, func(t accounting.Tally) int64 { return t.Refused },
 		func(t accounting.Tally) int64 { return t.Failed }, func(t accounting.Tally) int64 { return t.Attempts },
@@ -139,3 +147,12 @@
 	}
 	return append(list, n.fleet.figures()...)
 }
+
+// counts words counts under their names as one figure.
+func counts(name, help, label string, list []guard.Count) control.Family {
+	f := control.Family{Name: name, Help: help, Label: label}
+	for _, c := range list {
+		f.Rows = append(f.Rows, control.Row{Of: c.Name, Value: c.Value})
+	}
+	return f
+}
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/ingress"
 	"swiftdeal/internal/request"
+	"swiftdeal/internal/sockread"
 	"swiftdeal/internal/transport"
 )
 
@@ -112,6 +114,11 @@
 	own := s.n.clocks()
 	c.Arrived, c.Deadline = s.dated(own, w.ArrivedAt, w.Arrived), s.dated(own, w.DeadlineAt, w.Deadline)
 	w.State.Shift(clocks.Shift(own))
+	c.Policy = guard.PolicyOf(w.Class)
+	for i, t := range w.State.Tries {
+		c.Attempts.Import(i, guard.Target{Worker: t.Worker.ID, Zone: t.Worker.Zone, Cell: t.Worker.Cell}, time.Now().Add(t.Sent-own.Decisions), t.Never)
+	}
+	c.Present = func() bool { return !sockread.Ended(conns[0]) }
 	s.start(conns[0], func() {
 		var err error
 		if c.Class, err = s.n.place(w.Class); err != nil {
@@ -157,6 +164,7 @@
 		last = last || (leaving && !n.next.yielded()) || len(client.ahead) > 0
 		w := &writer{conn: client.Conn, header: http.Header{}}
 		taken = n.relay.Write(w, a, last) == nil
+		n.answered(c, admitted && taken)
 	}
 	n.book.Close(c, taken)
 	if taken && !last {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"swiftdeal/internal/control"
 	"swiftdeal/internal/discovery"
 	"swiftdeal/internal/dispatch"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/ingress"
 	"swiftdeal/internal/listen"
@@ -52,6 +53,7 @@
 	fleet    *fleet      // nil: the node has no part in one
 	overlay  *overlay    // nil: no settings come of the fleet
 	log      *slog.Logger
+	guard    *guard.Monitor
 
 	serving                  atomic.Bool // clients' connections are accepted
 	readyBy                  time.Time   // from then on clients are taken without an upstream group too
@@ -93,6 +95,8 @@
 		relay: response.New(c.Limits), book: accounting.New(c.Limits, c.Settings.ClassNames(), log), log: log,
 	}
 	n.book.Wanted(c.Settings.Balance.Classes)
+	n.guard = guard.NewMonitor(log)
+	n.conns.guard = n.guard
 	n.readyBy = time.Now().Add(c.Limits.ReadyWait)
 	n.uptime = m.Monotonic
 	n.memory, n.fleet, n.overlay = m.Memory, newFleet(n, m, c, log), newOverlay(c)
@@ -112,6 +116,7 @@
 	}
 	list = n.fleet.between(list)
 	peers, group := transport.New(c.Limits, c.Settings, m.Dial, events{r, n.book}), discovery.New(c.Limits, m.Dial, c.Discovery, known.Version, list)
+	peers.Guard(n.guard)
 	if n.peers = peers; n.next != nil {
 		peers.Movable()
 	}
@@ -286,6 +291,14 @@
 	// A client that breaks the protocol keeps no connection. The server then neither waits for the rest of a body
 	// before it sends the answer, nor reads on in what may be no request.
 	taken = n.relay.Write(w, a, leaving || spare || a.Verdict.Faulty() || r.ContentLength < 0) == nil
+	n.answered(c, admitted && taken)
+}
+
+// answered holds the time of an answer against the request's deadline, where its client has taken it.
+func (n *Node) answered(c *request.Context, taken bool) {
+	if late := time.Since(c.Deadline); taken && late > guard.AnswerSlack {
+		n.guard.Violated(guard.AnswerInTime, "id", c.ID, "verdict", c.Answer().Verdict, "reason", c.Answer().Reason, "late", late)
+	}
 }
 
 // await waits for a request's answer, or for its client to leave. It returns false once the request has gone to another
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/guard"
 )
 
 // Verdict is how a request ended.
@@ -57,10 +58,16 @@
 	Body      []byte
 	Arrived   time.Time
 	Deadline  time.Time // the client waits until then
+	Policy    guard.Policy
+	Attempts  guard.Ledger // those that have begun
 
-	once   sync.Once
-	ended  chan struct{}
-	answer Answer
+	// Present reports, by a look at the client's connection, whether the client is there; nil: that cannot be seen.
+	Present func() bool
+
+	once    sync.Once
+	ended   chan struct{}
+	endedAt time.Time
+	answer  Answer
 }
 
 // New returns an empty request context.
@@ -69,7 +76,7 @@
 // Finish gives the final answer. Only the first call counts; it reports whether this was it.
 func (c *Context) Finish(a Answer) (first bool) {
 	c.once.Do(func() {
-		c.answer, first = a, true
+		c.answer, c.endedAt, first = a, time.Now(), true
 		close(c.ended)
 	})
 	return first
@@ -78,5 +85,8 @@
 // Ended is closed once the final answer is given.
 func (c *Context) Ended() <-chan struct{} { return c.ended }
 
+// EndedAt returns when the final answer was given; it may be called once Ended is closed.
+func (c *Context) EndedAt() time.Time { return c.endedAt }
+
 // Answer returns the final answer; it may be called once Ended is closed.
 func (c *Context) Answer() Answer { return c.answer }
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -23,6 +23,7 @@
 const (
 	balancer  = "balance/balance.go"
 	state     = "balance/state.go"
+	slowStart = "balance/slowstart.go"
 	routing   = "internal/dispatch/dispatch.go"
 	exchanges = "internal/transport/exchange.go"
 	sending   = "internal/transport/transport.go"
@@ -51,7 +52,7 @@
 		{replacing, "			s.turn.End()\n", ""}, {serving, " || n.next.behind(); <-every.C", "; <-every.C"}}},
 	{"charge-kept-in-a-move", "charges, two processes", []Change{
 		{moving, "slices.DeleteFunc(a.w.out, func(x *attempt) bool { return x == a })", "slices.DeleteFunc(a.w.out, func(x *attempt) bool { return false })"}}},
-	{"tries-lost-in-a-move", "rule 2, two processes", []Change{{moving, "range m.Tries {", "range m.Tries[:0] {"}}},
+	{"tries-lost-in-a-move", "rule 2, two processes", []Change{{moving, "for _, t := range m.Tries {", "for _, t := range m.Tries[:0] {"}}},
 	{"answer-lost-in-a-move", "answers that have begun, two processes", []Change{{parting, "bytes.NewReader(d.Seen)", "bytes.NewReader(nil)"}}},
 	{"clients-kept-in-a-move", "idle connections, two processes", []Change{{conns, "		pass(conn, s.state, give)\n", "		pass(conn, http.StateActive, give)\n"}}},
 	{"charge-kept", "charges", []Change{{balancer, "	a.w.release(a, now)\n", ""}}},
@@ -73,19 +74,19 @@
 		{balancer, "return r.c.Effect == Safe || (r.c.Effect == Keyed && r.c.Scope == AllWorkers) || r.maybeRan() == nil", "return true"}}},
 	// Two guards stand one behind the other: the decision, and the look right before the first byte.
 	{"drain-unheard", "rule 3, a drain and a death", []Change{
-		{balancer, "|| w.State != Ready || !w.told\n", "|| !w.told\n"}, {sending, "			return s.pool.serves(peer)\n", "			return true\n"}}},
+		{balancer, "|| w.State != Ready || !w.told\n", "|| !w.told\n"}, {sending, "	return guard.WorkerDrains, s.pool.serves(peer)\n", "	return guard.WorkerDrains, true\n"}}},
 	{"reconnect-skips-a-change", "rule 3, SIGTERM and a watch that is asked for anew", []Change{
 		{watching, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)`, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version+1)`}}},
 	{"missing-from-full-list", "rule 3, a full list that no longer names a peer", []Change{
 		{balancer, "			w.told = false\n		}\n		fallthrough", "			_ = w\n		}\n		fallthrough"},
 		{watching, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)`, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", 0*c.version)`}}},
 	{"cold-budget-ignored", "rule 4, nodes that meet at a cold peer", []Change{
-		{balancer, "if f >= 1 || b.s.FallMultiple <= 0 {", "if f >= 0 || b.s.FallMultiple <= 0 {"}}},
+		{slowStart, "	if f >= 1 || b.s.FallMultiple <= 0 {", "	if f >= 0 || b.s.FallMultiple <= 0 {"}}},
 	{"hint-ignored-when-cold", "rule 4, jobs far longer than their class's mean", []Change{
 		{balancer, "max(b.run[r.Class], r.Work.Seconds()/b.usual)", "b.run[r.Class]"}}},
 	{"restart-unheard", "rule 4, a restart between probes", []Change{
-		{state, "	} else if m.Started > w.Started { // restarted", "	} else if m.Started = 0; false { // restarted"},
-		{balancer, "			w.Started = now\n", ""}}},
+		{state, "	} else if m.Started > w.Started && (", "	} else if m.Started = 0; false && ("},
+		{balancer, "			w.Started, w.warmFrom, w.shownAt = now, now, now\n", ""}}},
 	{"no-clock-answers", "rule 1, in time", []Change{
 		{balancer, "		b.answer(r)\n	}\n	b.move()", "		b.move()\n	}\n	b.move()"},
 		{admitting, "c.Deadline.Add(-s.limits.AnswerMargin)", "c.Deadline.Add(time.Second)"},
--- /dev/null
+++ b/internal/sim/ownchecks.go
@@ -0,0 +1,58 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+)
+
+// violationMessage is what a node logs where one of its own checks finds that it has broken a promise.
+const violationMessage = "invariant violated"
+
+// ownChecks collects what nodes log of their own checks. Nodes' goroutines log; the world judges after each step.
+type ownChecks struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+// take returns what has been seen since the last call, in an order that does not hang on goroutines.
+func (o *ownChecks) take() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := o.seen
+	o.seen = nil
+	slices.Sort(list)
+	return list
+}
+
+// watching is a log handler that tells a world's own checks of violations, and passes all on.
+type watching struct {
+	slog.Handler
+	checks *ownChecks
+	node   string
+}
+
+// Enabled implements slog.Handler: violations are told whatever the log holds.
+func (h watching) Enabled(ctx context.Context, level slog.Level) bool {
+	return level >= slog.LevelError || h.Handler.Enabled(ctx, level)
+}
+
+// Handle implements slog.Handler.
+func (h watching) Handle(ctx context.Context, r slog.Record) error {
+	if r.Message == violationMessage {
+		text := h.node
+		r.Attrs(func(a slog.Attr) bool {
+			text += fmt.Sprintf(" %s=%v", a.Key, a.Value)
+			return true
+		})
+		h.checks.mu.Lock()
+		h.checks.seen = append(h.checks.seen, text)
+		h.checks.mu.Unlock()
+	}
+	if !h.Handler.Enabled(ctx, r.Level) {
+		return nil
+	}
+	return h.Handler.Handle(ctx, r)
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -38,6 +38,7 @@
 
 // World is one simulation.
 type World struct {
+	own ownChecks
 	plan  *Plan
 	start time.Time
 	rnd   *rand.Rand // of ties and small chances; things have sources of their own
@@ -464,6 +465,9 @@
 // check looks at the invariants once everything has come to rest.
 func (w *World) check() {
 	w.broke(w.checker.Until(w.now()))
+	for _, text := range w.own.take() {
+		w.fault("own check", text, "", "")
+	}
 	for _, n := range w.nodes {
 		procs := slices.DeleteFunc(w.processes(), func(o *simNode) bool { return o.name != n.name || !o.up || o.dead })
 		stirred, held := false, 0
@@ -783,7 +787,7 @@
 	if w.log.nodes != nil {
 		log = slog.New(slog.NewTextHandler(prefixed{w, n.name}, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: noTime}))
 	}
-	go n.serve(ctx, prior, nodeLog{log})
+	go n.serve(ctx, prior, nodeLog{slog.New(watching{log.Handler(), &w.own, n.name})})
 	w.trace("%s starts", n.name)
 	return n
 }
--- a/internal/sockread/sockread.go
+++ b/internal/sockread/sockread.go
@@ -28,6 +28,7 @@
 	n     int
 	err   error
 	quiet bool
+	ended bool
 	b     [1]byte
 	take  func(fd uintptr) bool
 	see   func(fd uintptr)
@@ -82,9 +83,23 @@
 }
 
 func (r *Reader) look(fd uintptr) {
-	_, _, err := syscall.Recvfrom(int(fd), r.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, _, err := syscall.Recvfrom(int(fd), r.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	for err == syscall.EINTR {
+		n, _, err = syscall.Recvfrom(int(fd), r.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
 	// Bytes, the end and a reset are all no silence; a system that cannot look says nothing.
 	r.quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.EINVAL)
+	r.ended = !r.quiet && (err != nil || n == 0)
+}
+
+// Ended reports whether the other end has closed the connection, or it is broken, and the system holds nothing that has not been
+// read. The owner must be locked.
+func (r *Reader) Ended() bool {
+	if r.see == nil {
+		r.see = r.look
+	}
+	r.ended = false
+	return r.raw.Control(r.see) != nil || r.ended
 }
 
 // Silent reports whether the system holds nothing that has come. The owner must be locked.
@@ -95,3 +110,10 @@
 	r.quiet = false
 	return r.raw.Control(r.see) == nil && r.quiet
 }
+
+// Ended reports whether the other end of a connection has closed it, or it is broken, and the system holds nothing that has not
+// been read. Of what is no socket it says nothing.
+func Ended(c net.Conn) bool {
+	var r Reader
+	return r.Open(c, nil) && r.Ended()
+}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/guard"
 )
 
 // errCancelled ends an exchange that is called off.
@@ -24,8 +25,15 @@
 	read   func(*http.Response) // reads the answer and calls end
 	done   func(ending)         // told the end, once
 	cancel context.CancelCauseFunc
-	wanted func() bool // asked right before the first byte; nil: it is wanted in any case
-	by     time.Time   // the last byte must be written by then; zero: no bound but the deadline
+	by     time.Time // the last byte must be written by then; zero: no bound but the deadline
+
+	// Asked right before the first byte, where the exchange is an attempt; nil for probes.
+	wanted   func() (why guard.Reason, yes bool) // by what has crossed it
+	permit   func() bool                         // by what its request's class allows; a yes counts as begun
+	withheld func(why guard.Reason)
+
+	wroteAt time.Time  // right before the first byte; zero: none was written
+	writing sync.Mutex // held while the request is being written
 
 	mu      sync.Mutex
 	conn    *conn
@@ -95,25 +103,50 @@
 		}
 		at = p.reserve(x) // nothing was written: this is no second copy
 	}
+	err, broke := x.write(c, head(), body)
+	if err != nil {
+		x.end(ending{result: balance.ConnectFailed})
+		c.Close()
+	} else if broke {
+		x.end(ending{result: balance.Reset})
+	}
+	return err == nil
+}
+
+// write writes the request. broke reports whether the connection has ended meanwhile.
+func (x *exchange) write(c *conn, head, body []byte) (err error, broke bool) {
+	defer x.writing.Unlock() // held since mayBegin has said yes
 	if !x.by.IsZero() {
 		c.SetWriteDeadline(x.by)
 	}
+	x.wroteAt = time.Now()
 	// One call writes both, so that the body is not copied to stand behind its head.
-	_, err := (&net.Buffers{head(), body}).WriteTo(c.Conn)
+	_, err = (&net.Buffers{head, body}).WriteTo(c.Conn)
 	if !x.by.IsZero() {
 		c.SetWriteDeadline(time.Time{})
 	}
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.written = err == nil
-	broke := x.broke
+	return err, x.broke
+}
+
+// wrote waits until the request has been written, or cannot be within the given time, and reports whether it was whole. Guards
+// against a peer that answers before it has read all: the rest would go out before the next request on the connection.
+func (x *exchange) wrote(c *conn, within time.Duration) bool {
+	x.mu.Lock()
+	written := x.written
 	x.mu.Unlock()
-	if err != nil {
-		x.end(ending{result: balance.ConnectFailed})
-		c.Close()
-	} else if broke {
-		x.end(ending{result: balance.Reset})
+	if written {
+		return true
 	}
-	return err == nil
+	c.SetWriteDeadline(time.Now().Add(within))
+	x.writing.Lock()
+	defer x.writing.Unlock()
+	c.SetWriteDeadline(time.Time{})
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.written
 }
 
 // mayBegin reports whether the first byte may be written to a connection, and if not, whether the connection is still of
@@ -122,20 +155,40 @@
 // closed a connection that stood idle, or spoken on it, which must not be taken for an answer.
 func (x *exchange) mayBegin(ctx context.Context, c *conn) (may, usable bool) {
 	quiet := c.look.silent()
-	// A call-off has reached the context before it has reached the exchange.
-	wanted := ctx.Err() == nil && (x.wanted == nil || x.wanted()) && (x.by.IsZero() || time.Now().Before(x.by))
+	why, wanted := x.overtaken(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if c.stale || !quiet {
 		return false, false
 	}
 	if x.ended || !wanted {
+		if x.withheld != nil {
+			x.withheld(why)
+		}
+		return false, true
+	}
+	if x.permit != nil && !x.permit() {
 		return false, true
 	}
+	x.writing.Lock()
 	x.conn, x.begun = c, true
 	return true, true
 }
 
+// overtaken reports whether the exchange is still wanted, and if not, what has crossed it. A call-off has reached the context before
+// it has reached the exchange.
+func (x *exchange) overtaken(ctx context.Context) (why guard.Reason, wanted bool) {
+	if ctx.Err() != nil {
+		return guard.CalledOff, false
+	}
+	if x.wanted != nil {
+		if why, wanted = x.wanted(); !wanted {
+			return why, false
+		}
+	}
+	return guard.WindowOver, x.by.IsZero() || time.Now().Before(x.by)
+}
+
 // unasked reports whether what has come on a connection came before the exchange has begun there, if it ever did: it is no
 // answer to it. The connection is of no use then.
 func (x *exchange) unasked(c *conn) bool {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -14,6 +14,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/platform"
 )
 
@@ -43,6 +44,7 @@
 	mu     sync.Mutex
 	dial   platform.Dial
 	peers  map[string]config.Peer // those that the list names
+	out    map[string]time.Time   // since when workers are not in service, of those that were
 	idle   []*conn                // of all peers, the newest last
 	all    map[*conn]bool
 	count  int // connections that are open or coming up
@@ -52,13 +54,14 @@
 }
 
 func newPool(l config.Limits, d platform.Dial) *pool {
-	return &pool{limits: l, dial: d, peers: map[string]config.Peer{}, all: map[*conn]bool{}}
+	return &pool{limits: l, dial: d, peers: map[string]config.Peer{}, out: map[string]time.Time{}, all: map[*conn]bool{}}
 }
 
 // update keeps the peers that the list names; idle connections to one that is gone, has moved or has started anew are closed.
 func (p *pool) update(g config.Group) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.noteOut(p.ready(g), time.Now())
 	if g.Full {
 		clear(p.peers)
 	}
@@ -74,6 +77,56 @@
 	}
 }
 
+// ready lists the peers in service that a message may change; p.mu is held.
+func (p *pool) ready(g config.Group) (list []string) {
+	if !g.Full {
+		for _, named := range g.Peers {
+			if p.peers[named.ID].State == balance.Ready {
+				list = append(list, named.ID)
+			}
+		}
+		return list
+	}
+	for id, peer := range p.peers {
+		if peer.State == balance.Ready {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// outKept is how long it is remembered that a worker has left service.
+const outKept = time.Minute
+
+// noteOut notes which of the peers that were in service are no more; p.mu is held.
+func (p *pool) noteOut(were []string, now time.Time) {
+	for _, id := range were {
+		if p.peers[id].State != balance.Ready {
+			p.out[id] = now
+		}
+	}
+	for id, since := range p.out {
+		if p.peers[id].State == balance.Ready || now.Sub(since) > outKept {
+			delete(p.out, id)
+		}
+	}
+}
+
+// outSince is since when a peer that was in service is no more; zero: it is, or never was.
+func (p *pool) outSince(peer string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out[peer]
+}
+
+// target names a peer with its groups.
+func (p *pool) target(peer string) guard.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := p.peers[peer]
+	return guard.Target{Worker: peer, Zone: at.Zone, Cell: at.Cell}
+}
+
 // serves reports whether a peer takes new jobs, by the list.
 func (p *pool) serves(peer string) bool {
 	p.mu.Lock()
@@ -291,5 +344,5 @@
 	// The connection is of use again only once the answer has been read to its end.
 	c.SetReadDeadline(time.Now().Add(c.pool.limits.TailWait))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(c.pool.limits.LineBytes)))
-	return err == nil && n < int64(c.pool.limits.LineBytes) && !resp.Close && c.r.Buffered() == 0 && x.clean()
+	return err == nil && n < int64(c.pool.limits.LineBytes) && !resp.Close && c.r.Buffered() == 0 && x.wrote(c, c.pool.limits.TailWait) && x.clean()
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,6 +15,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
 	"swiftdeal/internal/platform"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/settings"
@@ -35,6 +36,7 @@
 	pool   *pool
 	events Events
 	path   string // what a probe asks for
+	guard  *guard.Monitor
 }
 
 // New returns the stage.
@@ -46,6 +48,9 @@
 	return st
 }
 
+// Guard has a monitor told of attempts that are withheld, and of what must never be.
+func (s *Stage) Guard(m *guard.Monitor) { s.guard = m }
+
 // Close ends all connections to peers. Tries that are out end as resets.
 func (s *Stage) Close() { s.pool.close() }
 
@@ -59,29 +64,74 @@
 // What is not wanted any more once a connection is up is not written.
 func (s *Stage) Try(c *request.Context, attempt int, peer string, by time.Time) (cancel func()) {
 	x := s.exchange(c, attempt, peer)
-	x.by, x.wanted = by, func() bool {
-		select {
-		case <-c.Ended():
-			return false
-		default:
-			return s.pool.serves(peer)
-		}
-	}
+	x.by, x.wanted = by, func() (guard.Reason, bool) { return s.wanted(c, peer) }
+	x.permit = func() bool { return s.permits(c, attempt, peer) }
+	x.withheld = func(why guard.Reason) { s.guard.Withheld(why, c.ID, attempt, peer) }
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
 	go func() {
-		if x.run(ctx, s.pool, at, func() []byte { return head(c) }, c.Body) {
+		var told time.Duration
+		words := func() (text []byte) {
+			text, told = head(c)
+			return text
+		}
+		if x.run(ctx, s.pool, at, words, c.Body) {
 			s.events.Written(c)
 		}
+		if !x.wroteAt.IsZero() {
+			s.check(c, x, told)
+		}
 	}()
 	return func() { x.cancel(errCancelled) }
 }
 
+// wanted reports whether an attempt is still wanted right before its first byte, and if not, why.
+func (s *Stage) wanted(c *request.Context, peer string) (why guard.Reason, yes bool) {
+	select {
+	case <-c.Ended():
+		return guard.RequestEnded, false
+	default:
+	}
+	if c.Present != nil && !c.Present() {
+		return guard.ClientGone, false
+	}
+	return guard.WorkerDrains, s.pool.serves(peer)
+}
+
+// permits asks the ledger of the request's attempts whether one more may begin, and records it. That the decisions ask for one
+// that may not is a violation.
+func (s *Stage) permits(c *request.Context, attempt int, peer string) bool {
+	refusal := c.Attempts.Begin(c.Policy, attempt, s.pool.target(peer), time.Now())
+	if refusal == "" {
+		return true
+	}
+	s.guard.Violated(guard.RepeatAllowed, "id", c.ID, "attempt", attempt, "worker", peer, "why", refusal)
+	return false
+}
+
+// check holds what was written against the promises, by when its first byte went out.
+func (s *Stage) check(c *request.Context, x *exchange, told time.Duration) {
+	select {
+	case <-c.Ended():
+		if late := x.wroteAt.Sub(c.EndedAt()); late > guard.WantedSlack {
+			s.guard.Violated(guard.AttemptWanted, "id", c.ID, "worker", x.peer, "late", late)
+		}
+	default:
+	}
+	if since := s.pool.outSince(x.peer); !since.IsZero() && x.wroteAt.Sub(since) > guard.DrainSlack {
+		s.guard.Violated(guard.WorkerInService, "id", c.ID, "worker", x.peer, "late", x.wroteAt.Sub(since))
+	}
+	if left := c.Deadline.Sub(x.wroteAt); told > left+guard.DeadlineSlack {
+		s.guard.Violated(guard.DeadlineTold, "id", c.ID, "worker", x.peer, "told", told, "left", left)
+	}
+}
+
 // exchange makes the exchange of a try.
 func (s *Stage) exchange(c *request.Context, attempt int, peer string) *exchange {
 	x := &exchange{peer: peer, name: c.ID, method: c.Method}
 	x.read = func(resp *http.Response) { s.job(x, c.ID, attempt, resp) }
 	x.done = func(e ending) {
 		s.pool.forget(x)
+		c.Attempts.End(attempt, e.result == balance.Full || e.result == balance.ConnectFailed || e.result == balance.Moot)
 		s.events.Ended(balance.Outcome{
 			Request: c.ID, Attempt: attempt, Worker: peer, Result: e.result, Took: e.took, Report: e.report,
 		}, e.text)
@@ -100,8 +150,8 @@
 }
 
 // head words the head of the request that goes to a peer; the body follows it as it came. What the client sent passes
-// on unchanged.
-func head(c *request.Context) []byte {
+// on unchanged. It returns what the peer is told of the time that is left, too.
+func head(c *request.Context) (text []byte, left time.Duration) {
 	var b bytes.Buffer
 	b.Grow(headBytes)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Target, c.Host)
@@ -113,9 +163,9 @@
 		}
 	}
 	c.Header.WriteSubset(&b, skip)
-	left := max(time.Until(c.Deadline), time.Millisecond)
+	left = max(time.Until(c.Deadline), time.Millisecond)
 	fmt.Fprintf(&b, "X-Deadline: %s\r\nContent-Length: %d\r\n\r\n", strconv.FormatFloat(left.Seconds(), 'f', 3, 64), len(c.Body))
-	return b.Bytes()
+	return b.Bytes(), left
 }
 
 // line is one line of a peer's answer.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -355,7 +355,7 @@
 	c := job("r")
 	c.Header.Set("Idempotency-Key", "k")
 	c.Header.Set("X-Deadline", "99999")
-	text := string(head(c))
+	text := string(words(c))
 	for _, want := range []string{"POST /job//x?sid=%2F HTTP/1.1\r\nHost: backend\r\n", "Idempotency-Key: k\r\n", "X-Request-Id: r\r\n", "Content-Length: 4\r\n\r\n"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no %q in %q", want, text)
@@ -390,3 +390,9 @@
 		}
 	})
 }
+
+// words is the head of a request without what it tells.
+func words(c *request.Context) []byte {
+	text, _ := head(c)
+	return text
+}
