--- a/cmd/swiftdeal/syscall_test.go
+++ b/cmd/swiftdeal/syscall_test.go
@@ -13,8 +13,9 @@
 )
 
 // injected starts the node with a system call that fails as told, by the tracer's own rule (name:error=E:when=...), and waits
-// until it serves. The process is the node itself: the tracer stands beside it.
-func injected(t *testing.T, rule string) (node *exec.Cmd, at string, log *bufio.Scanner) {
+// until it serves. The process is the node itself: the tracer stands beside it. With "-P config.json" only calls that concern the
+// node's file are struck.
+func injected(t *testing.T, rule string, only ...string) (node *exec.Cmd, at string, log *bufio.Scanner) {
 	t.Helper()
 	disco, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and says nothing
 	if err != nil {
@@ -29,7 +30,11 @@
 		t.Fatal(err)
 	}
 	call, _, _ := strings.Cut(rule, ":")
-	node = exec.Command("strace", "-D", "-f", "-qq", "-o", os.DevNull, "-e", "trace="+call, "-e", "inject="+rule, os.Args[0])
+	args := []string{"-D", "-f", "-qq", "-o", os.DevNull, "-e", "trace=" + call, "-e", "inject=" + rule}
+	if len(only) > 0 {
+		args = append(args, "-P", path)
+	}
+	node = exec.Command("strace", append(args, os.Args[0])...)
 	node.Env = append(os.Environ(), "SWIFTDEAL_TEST_SERVES=1", "GW_CONFIG="+path)
 	out, err := node.StderrPipe()
 	if err != nil {
@@ -72,3 +77,37 @@
 		})
 	}
 }
+
+// The clients' address may not be had for a moment as the node starts: it serves all the same.
+func TestListenFails(t *testing.T) {
+	for _, failure := range []string{"EADDRINUSE", "ENOBUFS", "EADDRNOTAVAIL", "ENOMEM"} {
+		node, _, log := injected(t, "bind:error="+failure+":when=1..3")
+		node.Process.Signal(syscall.SIGTERM)
+		for log.Scan() {
+		}
+		if err := node.Wait(); err != nil {
+			t.Errorf("%s: %v", failure, err)
+		}
+	}
+}
+
+// The file may not be readable for a moment at SIGHUP: the operator's word is not lost.
+func TestFileCannotBeReadForAMoment(t *testing.T) {
+	for _, failure := range []string{"ENFILE", "EIO", "ENOMEM"} {
+		node, _, log := injected(t, "openat:error="+failure+":when=2..4", "-P", "config.json")
+		node.Process.Signal(syscall.SIGHUP)
+		told := ""
+		for log.Scan() && told == "" {
+			if strings.Contains(log.Text(), "configuration") {
+				told = log.Text()
+			}
+		}
+		if !strings.Contains(told, "configuration read again") {
+			t.Errorf("%s: %s", failure, told)
+		}
+		node.Process.Signal(syscall.SIGTERM)
+		for log.Scan() {
+		}
+		node.Wait()
+	}
+}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -78,8 +78,14 @@
 
 func (f *Field) judged(list []invariants.Violation) {
 	for _, v := range list {
-		timed := v.Rule != 2
-		f.violated(names[v.Rule], v.String(), v.Request, timed)
+		name := names[v.Rule]
+		switch {
+		case strings.HasPrefix(v.Text, "told a deadline"):
+			name = "deadline"
+		case strings.HasPrefix(v.Text, "begun"):
+			name = "left"
+		}
+		f.violated(name, v.String(), v.Request, v.Rule != 2)
 	}
 }
 
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -154,7 +154,48 @@
 	return err
 }
 
-func (p planted) Run() error { return errors.New("not yet") }
+func (p planted) Run() error {
+	missed := 0
+	for i := range soak.AllPlanted {
+		m := &soak.AllPlanted[i]
+		if p.Only != "" && p.Only != m.Name {
+			continue
+		}
+		found, err := p.catch(m)
+		if err != nil {
+			return err
+		}
+		if !found {
+			missed++
+		}
+		fmt.Printf("planted %s: %s broken: %v\n", m.Name, m.Invariant, found)
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d planted faults were not found", missed)
+	}
+	return nil
+}
+
+// catch plays the program with a planted fault, and reports whether its invariant broke.
+func (p planted) catch(m *soak.Planted) (found bool, err error) {
+	dir, err := os.MkdirTemp("", "soak-build-")
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := soak.Build(dir, m.Name, m.Changes...)
+	if err != nil {
+		return false, err
+	}
+	r, err := p.play(m.Name, bin, &m.Plan)
+	if err != nil {
+		return false, err
+	}
+	for _, v := range r.Broken {
+		found = found || v.Invariant == m.Invariant
+	}
+	return found, nil
+}
 
 func main() {
 	ctx := kong.Parse(&cli{}, kong.Name("soak"), kong.Description("Real processes of the program under drawn, overlapping troubles."), kong.UsageOnError())
