--- a/cmd/swiftdeal/listen.go
+++ b/cmd/swiftdeal/listen.go
@@ -9,25 +9,25 @@
 	"net"
 	"os"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/handover"
 	"swiftdeal/internal/node"
+	"swiftdeal/internal/platform"
 )
 
 // listen opens the node's doors. A process that serves clients already, as one that is to be replaced does, hands its
 // listening socket over; where it cannot, both listen side by side.
 func listen(ctx context.Context, c *config.Config, log *slog.Logger) (d node.Doors, err error) {
 	if c.Control == "" {
-		if d.Clients, err = net.Listen("tcp", c.Listen); err != nil {
+		if d.Clients, err = patiently(ctx, c, c.Listen, net.ListenConfig{}); err != nil {
 			return d, fmt.Errorf("listen: %w", err)
 		}
 		return d, nil
 	}
-	if d.Control, err = net.Listen("tcp", c.Control); err != nil {
+	if d.Control, err = patiently(ctx, c, c.Control, net.ListenConfig{}); err != nil {
 		return d, fmt.Errorf("control: %w", err)
 	}
 	dir := os.Getenv("TMPDIR")
@@ -58,15 +58,14 @@
 			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 		})
 	}}
-	for end := time.Now().Add(c.Limits.BindWait); ; {
-		ln, err := lc.Listen(ctx, "tcp", c.Listen)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(end) {
-			return ln, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
+	return patiently(ctx, c, c.Listen, lc)
+}
+
+// patiently listens at an address, which another process may hold for a moment, or the system not have to give.
+func patiently(ctx context.Context, c *config.Config, address string, lc net.ListenConfig) (ln net.Listener, err error) {
+	err = platform.Retry(ctx, c.Limits.BindWait, func() error {
+		ln, err = lc.Listen(ctx, "tcp", address)
+		return err
+	})
+	return ln, err
 }
--- a/cmd/swiftdeal/main.go
+++ b/cmd/swiftdeal/main.go
@@ -61,7 +61,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE) // guards against an end with whoever reads the log
-	c, err := config.Load(os.Getenv, os.ReadFile)
+	c, err := config.Load(os.Getenv, platform.ReadFile)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 // with what it has, and the log names the key.
 func reread(hup <-chan os.Signal, running *config.Config, reloads chan<- node.Reload) {
 	for range hup {
-		c, err := config.Reload(os.Getenv, os.ReadFile, running)
+		c, err := config.Reload(os.Getenv, platform.ReadFile, running)
 		if err == nil {
 			running = c
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -38,7 +38,7 @@
 
 // World is one simulation.
 type World struct {
-	own ownChecks
+	own   ownChecks
 	plan  *Plan
 	start time.Time
 	rnd   *rand.Rand // of ties and small chances; things have sources of their own
