A flood behind an open request is held back, not taken for its client's leaving

Cause: watchAhead and carried.watch gave up a client past 16 KiB behind its open request, and closed its connection with a request read and not answered. Change: past 16 KiB nothing more is read before the answer, so that the rest waits at the system; that the client leaves is then seen by poll (POLLRDHUP), every 20 ms. Where the system cannot tell, it is as before.

--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -4,18 +4,29 @@
 	"errors"
 	"os"
 	"time"
+
+	"swiftdeal/internal/sockread"
 )
 
-// mostAhead is how much a client may send behind a request that is open. Whoever sends more breaks the protocol, by which
-// there is one request at a time, and is taken to have left.
+// mostAhead is how much is read of what a client sends behind a request that is open. The rest waits at the system, and the client
+// with it: by the protocol there is one request at a time.
 const mostAhead = 16 << 10
 
+// hangUpEvery is how often a client is looked for whose bytes are not read any more.
+const hangUpEvery = 20 * time.Millisecond
+
+// errHungUp says that a client has left behind bytes that were not read.
+var errHungUp = errors.New("the client has hung up")
+
 // ahead reads what follows an open request. The server's own watch for a client that leaves ends at the first byte that
 // follows, and sees no close any more.
 type ahead struct {
 	text []byte
 	err  error // of the connection; nil if it was stopped
+	stop chan struct{}
 	done chan struct{}
+
+	stopped bool // stop is closed; guarded by the connection's lock
 }
 
 // watchAhead begins to read ahead.
@@ -25,29 +36,35 @@
 	if c.ahead != nil || c.evicted || c.answered {
 		return
 	}
-	a := &ahead{done: make(chan struct{})}
+	a := &ahead{stop: make(chan struct{}), done: make(chan struct{})}
 	c.ahead = a
 	go func() {
 		defer close(a.done)
-		b := make([]byte, 512)
-		for {
-			n, err := c.read(b)
-			a.text = append(a.text, b[:n]...)
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return // stopped
-			}
-			if len(a.text) > mostAhead {
-				err = errors.New("too many bytes behind an open request")
-			}
-			if err != nil {
-				a.err = err
-				close(c.left)
-				return
-			}
+		if a.err = c.readOn(a); a.err != nil {
+			close(c.left)
 		}
 	}()
 }
 
+// readOn reads ahead until it is stopped, which is no error, or the client has left.
+func (c *Conn) readOn(a *ahead) error {
+	b := make([]byte, 512)
+	for len(a.text) < mostAhead {
+		n, err := c.read(b)
+		a.text = append(a.text, b[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if !c.socket || !sockread.AwaitHangUp(&c.in, hangUpEvery, a.stop) {
+		return errHungUp
+	}
+	return nil
+}
+
 // stopAhead ends that and returns what was read.
 func (c *Conn) stopAhead() *ahead {
 	c.mu.Lock()
@@ -56,6 +73,10 @@
 		c.mu.Unlock()
 		return nil
 	}
+	if !a.stopped {
+		a.stopped = true
+		close(a.stop)
+	}
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 	c.mu.Unlock()
 	<-a.done
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -186,33 +186,44 @@
 	ahead []byte // what the client has sent beyond its request
 	left  chan struct{}
 	over  chan struct{}
+	ends  chan struct{} // closed as the watch is to end
 	kept  bool
 }
 
 // watch reads on until the client leaves or stop is called.
 func (c *carried) watch() {
-	c.left, c.over = make(chan struct{}), make(chan struct{})
+	c.left, c.over, c.ends = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(c.over)
-		b := make([]byte, 64)
-		for {
-			n, err := c.Read(b)
-			// Whoever sends too much is taken to have left, as with connections that the server holds.
-			if c.ahead = append(c.ahead, b[:n]...); err != nil || len(c.ahead) > mostAhead {
-				if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-					close(c.left)
-				}
-				return
-			}
+		if !c.readOn() {
+			close(c.left)
 		}
 	}()
 }
 
-// mostAhead is how much a client may send beyond its request.
+// mostAhead is how much is read of what a client sends beyond its request. The rest waits at the system.
 const mostAhead = 16 << 10
 
+// hangUpEvery is how often a client is looked for whose bytes are not read any more.
+const hangUpEvery = 20 * time.Millisecond
+
+// readOn reads ahead. It returns false once the client has left, and true once it was stopped.
+func (c *carried) readOn() (stopped bool) {
+	b := make([]byte, 512)
+	for len(c.ahead) < mostAhead {
+		n, err := c.Read(b)
+		c.ahead = append(c.ahead, b[:n]...)
+		if err != nil {
+			return errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	var r sockread.Reader
+	return r.Open(c.Conn, nil) && sockread.AwaitHangUp(&r, hangUpEvery, c.ends)
+}
+
 // stop ends the watch.
 func (c *carried) stop() {
+	close(c.ends)
 	c.SetReadDeadline(time.Unix(1, 0))
 	<-c.over
 	c.SetReadDeadline(time.Time{})
--- a/internal/sockread/sockread.go
+++ b/internal/sockread/sockread.go
@@ -10,6 +10,9 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Owner is told what was read. It is locked from before each read of the system until it has been told; no bytes are the
@@ -92,6 +95,23 @@
 	r.ended = !r.quiet && (err != nil || n == 0)
 }
 
+// AwaitHangUp looks every so often whether the other end of a connection that is not read any more has hung up. It returns false
+// once it has, or where that cannot be seen, and true once stop is closed.
+func AwaitHangUp(r *Reader, every time.Duration, stop <-chan struct{}) (stopped bool) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		if hung, known := r.HungUp(); hung || !known {
+			return false
+		}
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return true
+		}
+	}
+}
+
 // Ended reports whether the other end has closed the connection, or it is broken, and the system holds nothing that has not been
 // read. The owner must be locked.
 func (r *Reader) Ended() bool {
@@ -111,6 +131,25 @@
 	return r.raw.Control(r.see) == nil && r.quiet
 }
 
+// HungUp reports whether the other end has closed the connection, or it is broken, whatever the system holds that has not been
+// read. known is false where the system cannot tell.
+func (r *Reader) HungUp() (hung, known bool) {
+	var events int16
+	err := r.raw.Control(func(fd uintptr) {
+		set := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(set, 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(set, 0)
+		}
+		known = err == nil && n >= 0 && set[0].Revents&unix.POLLNVAL == 0
+		events = set[0].Revents
+	})
+	if err != nil { // closed here
+		return true, true
+	}
+	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, known
+}
+
 // Ended reports whether the other end of a connection has closed it, or it is broken, and the system holds nothing that has not
 // been read. Of what is no socket it says nothing.
 func Ended(c net.Conn) bool {
