--- a/internal/fleet/accord/disk/disk.go
+++ b/internal/fleet/accord/disk/disk.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -90,9 +91,9 @@
 	path := filepath.Join(dir, "council.db")
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: wait})
 	switch {
-	case errors.Is(err, bbolt.ErrTimeout):
+	case errors.Is(err, bbolterrors.ErrTimeout):
 		return nil, nil, fmt.Errorf("%s: %w", path, ErrHeld)
-	case errors.Is(err, bbolt.ErrInvalid), errors.Is(err, bbolt.ErrChecksum), errors.Is(err, bbolt.ErrVersionMismatch):
+	case errors.Is(err, bbolterrors.ErrInvalid), errors.Is(err, bbolterrors.ErrChecksum), errors.Is(err, bbolterrors.ErrVersionMismatch):
 		return nil, nil, fmt.Errorf("%s: %w: %v", path, ErrDamaged, err)
 	case err != nil:
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -203,7 +203,6 @@
 	ticket   uint64
 	acts     []Action
 	counts   Counts
-	noticed  accord.Group
 	leaderAt string
 }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -3,6 +3,7 @@
 package gossip
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -202,7 +203,7 @@
 		if c.What == "conflict" || c.What == "displaced" || c.What == "woke" {
 			level = slog.LevelWarn
 		}
-		s.log.Log(nil, level, "fleet", "member", c.Name, "what", c.What, "why", c.Why, "by", c.By, "incarnation", c.Inc, "life", c.Life)
+		s.log.Log(context.Background(), level, "fleet", "member", c.Name, "what", c.What, "why", c.Why, "by", c.By, "incarnation", c.Inc, "life", c.Life)
 	}
 	if told := s.core.Told(); len(told) > 0 && s.o.Heard != nil {
 		s.o.Heard(told)
--- a/internal/fleet/permit/apply.go
+++ b/internal/fleet/permit/apply.go
@@ -101,8 +101,8 @@
 	if c.Seen != nil { // only what was seen just now is decided on
 		s.settle(index, c.At)
 	}
-	if p := s.Permit(c.Of); c.Op == Wish && r.OK && c.Ask != nil {
-		if p = s.Permit(c.Ask.Subject); p != nil {
+	if c.Op == Wish && r.OK && c.Ask != nil {
+		if p := s.Permit(c.Ask.Subject); p != nil {
 			r.No, r.Text = p.No, "granted"
 		} else if q := s.Request(c.Ask.Subject); q != nil {
 			r.Text = "waits: " + q.Waiting
--- a/internal/fleet/permit/permit.go
+++ b/internal/fleet/permit/permit.go
@@ -34,10 +34,6 @@
 
 func (s Subject) String() string { return s.Kind.String() + " " + s.Name }
 
-func compare(a, b Subject) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-}
-
 // Budgets say how much may be out at once. A budget of zero forbids planned exits.
 type Budgets struct {
 	Nodes        int            `cbor:"1,keyasint" json:"nodes"`                      // of the fleet
@@ -211,10 +207,9 @@
 
 // tally is who is out, whatever the reason.
 type tally struct {
-	names               map[string]bool
-	all                 int
-	site, group         map[string]int
-	mostSite, mostGroup string
+	names       map[string]bool
+	all         int
+	site, group map[string]int
 }
 
 func (t *tally) add(name, site, group string) {
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -240,3 +240,24 @@
 		own.mu.Unlock()
 	}
 }
+
+// A client's close is seen by a look, before anybody reads it; bytes behind an open request hide nothing but that.
+func TestPresent(t *testing.T) {
+	client, own := pair(t, 0)
+	if !own.Present() {
+		t.Error("a client that says nothing is taken to have left")
+	}
+	client.Write([]byte(ask))
+	if _, err := io.ReadFull(own, make([]byte, len(ask))); err != nil {
+		t.Fatal(err)
+	}
+	if !own.Present() {
+		t.Error("a client whose request was read is taken to have left")
+	}
+	client.Close()
+	for end := time.Now().Add(onlyFailureReaches); own.Present(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a client that has closed is taken to be there")
+		}
+	}
+}
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -174,7 +174,12 @@
 // busy is an order in which the owner of the Balancer handles nothing while hold is locked.
 type busy struct{ hold *sync.Mutex }
 
-func (b busy) Settle()                                      { b.hold.Lock(); b.hold.Unlock() }
+// Settle implements platform.Order.
+func (b busy) Settle() {
+	b.hold.Lock()
+	defer b.hold.Unlock()
+}
+
 func (b busy) Owner(func(string) int)                       {}
 func (b busy) Before(platform.Source, platform.Source) bool { return false }
 
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -208,10 +208,12 @@
 }
 
 // A client that sends the first bytes of its next request on a kept connection and stays is closed in the time for a head, not in
-// that for resting connections.
+// that for resting connections; one that sends the whole head and no body, in that for a body.
 func TestFirstBytesOfTheNextHead(t *testing.T) {
-	for _, bytes := range []string{"P", "POS", "POST /job HT"} {
-		w := start(t, func(l *config.Limits) { l.HeadWait, l.IdleWait = 20*time.Millisecond, time.Hour })
+	for _, bytes := range []string{"P", "POS", "POST /job HT", "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: b\r\nContent-Length: 50\r\n\r\n"} {
+		w := start(t, func(l *config.Limits) {
+			l.HeadWait, l.BodyWait, l.IdleWait = 20*time.Millisecond, 20*time.Millisecond, time.Hour
+		})
 		c := w.dial(t)
 		w.done <- "result"
 		fmt.Fprintf(c, ask, "a")
--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -11,9 +11,6 @@
 	"swiftdeal/internal/config"
 )
 
-// behind is far more than a node keeps of what comes behind an open request.
-const behind = 256 << 10
-
 // A client that sends far more behind its open request than the node keeps, and stays, has its answers: the request was read.
 func TestFloodThatStays(t *testing.T) {
 	w := start(t, func(*config.Limits) {})
--- a/internal/scale/page/page.go
+++ b/internal/scale/page/page.go
@@ -115,8 +115,8 @@
 	return os.Rename(tmp, file)
 }
 
-// Differs is what Check returns for a page that is not as the runs have it.
-var Differs = errors.New("differs from the recorded runs; write it with `go run ./tools/scale page`")
+// ErrDiffers is what Check returns for a page that is not as the runs have it.
+var ErrDiffers = errors.New("differs from the recorded runs; write it with `go run ./tools/scale page`")
 
 // Check holds the page against the runs and names the first line that differs.
 func Check(file, dir string) error {
@@ -135,5 +135,5 @@
 		}
 		return "(end)"
 	}
-	return fmt.Errorf("%s:%d: %w\n is   %s\n want %s", file, i+1, Differs, line(a), line(b))
+	return fmt.Errorf("%s:%d: %w\n is   %s\n want %s", file, i+1, ErrDiffers, line(a), line(b))
 }
--- a/internal/scale/page/page_test.go
+++ b/internal/scale/page/page_test.go
@@ -140,7 +140,7 @@
 	if err := os.WriteFile(file, []byte(strings.Replace(string(b), notRun, "12 KB", 1)), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if err := Check(file, dir); !errors.Is(err, Differs) || !strings.Contains(err.Error(), "12 KB") {
+	if err := Check(file, dir); !errors.Is(err, ErrDiffers) || !strings.Contains(err.Error(), "12 KB") {
 		t.Error(err)
 	}
 	if err := record.Write(dir, runs()["members"]); err != nil {
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -68,12 +68,10 @@
 
 // flight is one request from a node to a peer.
 type flight struct {
-	try     int
-	id      string
-	probe   bool
-	text    []byte
-	arrived bool
-	lines   int
+	try   int
+	id    string
+	probe bool
+	text  []byte
 }
 
 // endpoint is the node's end of a link: a socket, which processes have open by handles.
@@ -294,14 +292,13 @@
 
 // dialing is a connection that a node wants.
 type dialing struct {
-	node    *simNode
-	addr    string
-	why     string
-	n       int
-	mu      sync.Mutex
-	given   bool // up or refused, or given up by the node
-	done    chan dialed
-	purpose string
+	node  *simNode
+	addr  string
+	why   string
+	n     int
+	mu    sync.Mutex
+	given bool // up or refused, or given up by the node
+	done  chan dialed
 }
 
 type dialed struct {
--- a/internal/sim/views/council.go
+++ b/internal/sim/views/council.go
@@ -43,11 +43,9 @@
 	disks    map[string]*accord.Saved
 	off      map[string]bool // written off by an operator
 	begun    int             // exits
-	granted  int
-	most     int // planned exits at once
+	most     int             // planned exits at once
 	calls    map[uint64]string
 	replies  []string
-	faulty   map[string]rate // by version
 	worse    map[string]bool
 	wrong    map[string]bool // their supervisors start another version than they were told, once
 	phases   []string        // of the release, as seats have them
--- a/internal/sim/views/world.go
+++ b/internal/sim/views/world.go
@@ -105,7 +105,6 @@
 	nextCut              int
 	loss, damage, jitter float64
 	lying                map[int]*rand.Rand
-	quiet                bool          // faults are over and all has had its time
 	last                 time.Duration // when the last fault ended
 	still                int           // steps since time moved
 	verbose              bool
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -61,7 +61,6 @@
 	found    map[string]*heirs   // by node: where a second process comes
 	parcels  int                 // on their way between processes
 	takers   map[string]*simNode // of requests, by node and id
-	peers    map[string]*machineState
 	byAddr   map[string]*machineState
 	order    []*machineState
 	fleet    *standin.Fleet
@@ -1073,7 +1072,4 @@
 	}
 }
 
-// goroutines is how many there are, for the check at the end.
-func goroutines() int { return runtime.NumGoroutine() }
-
 var forever = time.Duration(math.MaxInt64)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,11 +1,18 @@
 package soak
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+
+	"swiftdeal/internal/proving"
+	"swiftdeal/internal/sim/mutants"
 )
 
 var built = sync.OnceValues(func() (string, error) {
@@ -63,3 +70,78 @@
 		})
 	}
 }
+
+// Drawn plans hold, with times judged loosely; long runs with times judged as the promises say are for the hand (tools/soak).
+func TestDrawnSeeds(t *testing.T) {
+	for _, seed := range []uint64{2, 106} { // accept fails while a process is held up; a kill while workers fail
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			play(t, Draw(seed, 3))
+		})
+	}
+}
+
+// Every kind of trouble is drawn by some seed, plans are valid, and equal for equal seeds; a faulty plan is refused.
+func TestDraw(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(200) {
+		p := Draw(seed, 5)
+		if err := p.Check(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		text, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := Parse(text); err != nil || !reflect.DeepEqual(again, Draw(seed, 5)) {
+			t.Errorf("seed %d: %v, or another plan", seed, err)
+		}
+		for _, trouble := range p.Troubles {
+			seen[trouble.Kind] = true
+		}
+	}
+	if len(seen) != len(Kinds()) {
+		t.Errorf("%d kinds of %d are drawn", len(seen), len(Kinds()))
+	}
+	for _, text := range []string{`{`, `{"nodes":0}`, `{"nodes":1,"workers":1,"rate":1,"work_ms":1,"length_ms":1,"troubles":[{"kind":"odd"}]}`,
+		`{"nodes":1,"workers":1,"rate":1,"work_ms":1,"length_ms":1,"troubles":[{"kind":"kill","target":1}]}`} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s: taken", text)
+		}
+	}
+}
+
+// A planted fault is found: a repeat that the decisions ask for and the guard holds back shows in the node's own count.
+func TestPlantedFaultIsFound(t *testing.T) {
+	for i := range AllPlanted {
+		m := &AllPlanted[i]
+		if m.Name != "unsafe-repeat-decided" { // the others are for the hand: tools/soak planted
+			continue
+		}
+		t.Parallel()
+		bin, err := Build(t.TempDir(), m.Name, m.Changes...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Run(&m.Plan, Options{Bin: bin, Dir: t.TempDir(), Slack: looseSlack})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !slices.ContainsFunc(r.Broken, func(v Violation) bool { return v.Invariant == m.Invariant }) {
+			t.Errorf("not found: %+v", r.Stats)
+		}
+	}
+}
+
+// Planted faults still fit the sources.
+func TestPlantedFit(t *testing.T) {
+	root, err := proving.Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range AllPlanted {
+		if _, err := (&mutants.Mutant{Name: m.Name, Changes: m.Changes}).Overlay(root, t.TempDir()); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/guard_test.go
@@ -0,0 +1,108 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"swiftdeal/balance"
+	"swiftdeal/internal/config"
+	"swiftdeal/internal/guard"
+)
+
+// violations is how often an invariant was violated, by a monitor.
+func violations(m *guard.Monitor, i guard.Invariant) int64 { return m.Violations()[i].Value }
+
+// An attempt whose client has left does not begin, though nobody has read the client's end yet.
+func TestClientGoneUnread(t *testing.T) {
+	p := newToy(t)
+	s, e := newStage(p.Addr().String(), nil)
+	defer s.Close()
+	m := guard.NewMonitor(slog.New(slog.DiscardHandler))
+	s.Guard(m)
+	c := job("r")
+	c.Present = func() bool { return false }
+	s.Try(c, 0, "p", time.Time{})
+	if got := <-e.ends; got.Result != balance.Moot {
+		t.Errorf("%+v", got)
+	}
+	if n := m.AttemptsWithheld()[guard.ClientGone].Value; n != 1 || len(p.requests) != 0 {
+		t.Errorf("%d withheld, %d requests", n, len(p.requests))
+	}
+}
+
+// What a class does not allow is held back whatever was decided, and counted.
+func TestForbiddenRepeat(t *testing.T) {
+	p := newToy(t)
+	s, e := newStage(p.Addr().String(), nil)
+	defer s.Close()
+	m := guard.NewMonitor(slog.New(slog.DiscardHandler))
+	s.Guard(m)
+	c := job("r")
+	c.Policy = guard.Policy{Effect: balance.Unsafe}
+	p.answers <- status(500, "")
+	s.Try(c, 0, "p", time.Time{})
+	if got := <-e.ends; got.Result != balance.Error {
+		t.Fatalf("%+v", got)
+	}
+	<-p.requests
+	s.Try(c, 1, "p", time.Time{})
+	if got := <-e.ends; got.Result != balance.Moot {
+		t.Errorf("%+v", got)
+	}
+	if n := violations(m, guard.RepeatAllowed); n != 1 || len(p.requests) != 0 {
+		t.Errorf("%d violations, %d requests", n, len(p.requests))
+	}
+}
+
+// A worker that answers before it has read the whole request keeps its connection to itself: the next attempt goes on another one,
+// not behind the rest of the body.
+func TestAnswerBeforeTheWholeRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conns := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			conns <- c
+		}
+	}()
+	s, e := newStage(ln.Addr().String(), func(l *config.Limits) { l.TailWait = 20 * time.Millisecond })
+	defer s.Close()
+	large := job("large")
+	large.Body = bytes.Repeat([]byte("x"), 32<<20)
+	s.Try(large, 0, "p", time.Time{})
+	first := <-conns
+	defer first.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(first)); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(first, status(503, "X-Not-Run: 1\r\n"))
+	if got := <-e.ends; got.Result != balance.Full {
+		t.Fatalf("%+v", got)
+	}
+	small := job("small")
+	s.Try(small, 0, "p", time.Time{})
+	select {
+	case second := <-conns:
+		defer second.Close()
+		req, err := http.ReadRequest(bufio.NewReader(second))
+		if err != nil || req.Header.Get("X-Request-Id") != "small" {
+			t.Errorf("%v %v", req, err)
+		}
+	case <-time.After(20 * time.Second): // only a real failure reaches it
+		t.Error("the next attempt waits behind the rest of the body")
+	}
+}
