The clock for a head gives the body's deadline back

Cause: ingress.Conn.take, as a head that began on a resting connection ends, cleared the read deadline, though the server may have set the body's by then. Change: the deadline that the server has asked for is kept beside the one in force, and set again.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -32,7 +32,8 @@
 	give  func(net.Conn) // takes it in place of a close; nil while it stays
 	woken bool           // its reader was woken to look at give
 	gone  bool           // nobody reads it any more: it goes
-	by    time.Time      // the read deadline that the server has set
+	by    time.Time      // the read deadline that is set
+	asked time.Time      // the one that the server has asked for
 
 	in       sockread.Reader
 	socket   bool          // it is read by in
@@ -131,6 +132,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.asked = t
 	if !c.headBy.IsZero() && (t.IsZero() || c.headBy.Before(t)) {
 		t = c.headBy
 	}
@@ -378,7 +380,7 @@
 		c.aheadAt = time.Time{}
 	}
 	if !c.headBy.IsZero() {
-		c.headBy, c.by = time.Time{}, time.Time{}
+		c.headBy, c.by = time.Time{}, c.asked // the server may have begun to wait for the body
 		c.Conn.SetReadDeadline(c.by)
 	}
 	end := endOfHead(c.head)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -15,7 +15,6 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
