--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -41,6 +41,9 @@
 	go func() {
 		defer close(a.done)
 		if a.err = c.readOn(a); a.err != nil {
+			c.mu.Lock()
+			c.ended = true
+			c.mu.Unlock()
 			close(c.left)
 		}
 	}()
