--- a/internal/guard/ledger.go
+++ b/internal/guard/ledger.go
@@ -26,6 +26,15 @@
 type Ledger struct {
 	mu       sync.Mutex
 	attempts []entry
+	first    [1]entry // where the only attempt of most requests stands, so that it allocates nothing
+}
+
+// add records an attempt; mu is held.
+func (l *Ledger) add(e entry) {
+	if l.attempts == nil {
+		l.attempts = l.first[:0]
+	}
+	l.attempts = append(l.attempts, e)
 }
 
 // entry is an attempt that has begun.
@@ -48,7 +57,7 @@
 			return refusal
 		}
 	}
-	l.attempts = append(l.attempts, entry{number: number, to: to, begun: now})
+	l.add(entry{number: number, to: to, begun: now})
 	return ""
 }
 
@@ -82,5 +91,5 @@
 func (l *Ledger) Import(number int, to Target, begun time.Time, never bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.attempts = append(l.attempts, entry{number, to, begun, never})
+	l.add(entry{number, to, begun, never})
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"swiftdeal/internal/request"
 	"swiftdeal/internal/sockread"
 )
 
@@ -340,10 +341,10 @@
 	c.owed = lost
 }
 
-// present returns how a request's client is looked for; nil where that cannot be.
-func present(r *http.Request) func() bool {
+// clientOf returns a request's client; nil where it cannot be looked for.
+func clientOf(r *http.Request) request.Client {
 	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-		return c.Present
+		return c
 	}
 	return nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,7 +49,7 @@
 }
 
 func (s *Stage) read(c *request.Context, w http.ResponseWriter, r *http.Request) error {
-	c.Method, c.Target, c.Host, c.Header, c.Present = r.Method, r.RequestURI, r.Host, r.Header, present(r)
+	c.Method, c.Target, c.Host, c.Header, c.Client = r.Method, r.RequestURI, r.Host, r.Header, clientOf(r)
 	ctl := http.NewResponseController(w)
 	// Guards against a body that never comes: neither its reader here nor the server, which reads on after an
 	// answer, may wait for it for ever.
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -118,7 +118,7 @@
 	for i, t := range w.State.Tries {
 		c.Attempts.Import(i, guard.Target{Worker: t.Worker.ID, Zone: t.Worker.Zone, Cell: t.Worker.Cell}, time.Now().Add(t.Sent-own.Decisions), t.Never)
 	}
-	c.Present = func() bool { return !sockread.Ended(conns[0]) }
+	c.Client = handedOver{conns[0]}
 	s.start(conns[0], func() {
 		var err error
 		if c.Class, err = s.n.place(w.Class); err != nil {
@@ -140,6 +140,12 @@
 	})
 }
 
+// handedOver is the client of a request that came from another process.
+type handedOver struct{ net.Conn }
+
+// Present implements request.Client.
+func (h handedOver) Present() bool { return !sockread.Ended(h.Conn) }
+
 // dated returns a time of another process: by the machine's monotonic clock, or by the wall clock where it tells no other.
 func (s *succession) dated(own handover.Clocks, at time.Duration, wall time.Time) time.Time {
 	if at == 0 {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -47,6 +47,12 @@
 	Wait    time.Duration // what a refused client is told to wait; 0 for no advice
 }
 
+// Client is a request's client, as far as its connection shows.
+type Client interface {
+	// Present reports, by a look at the connection, whether the client is there.
+	Present() bool
+}
+
 // Context is one request on its way through the stages. Its fields do not change once it is admitted.
 type Context struct {
 	balance.Request
@@ -61,8 +67,7 @@
 	Policy    guard.Policy
 	Attempts  guard.Ledger // those that have begun
 
-	// Present reports, by a look at the client's connection, whether the client is there; nil: that cannot be seen.
-	Present func() bool
+	Client Client // nil: it cannot be looked for
 
 	once    sync.Once
 	ended   chan struct{}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -27,13 +27,11 @@
 	cancel context.CancelCauseFunc
 	by     time.Time // the last byte must be written by then; zero: no bound but the deadline
 
-	// Asked right before the first byte, where the exchange is an attempt; nil for probes.
-	wanted   func() (why guard.Reason, yes bool) // by what has crossed it
-	permit   func() bool                         // by what its request's class allows; a yes counts as begun
-	withheld func(why guard.Reason)
+	attempt *guarded // asked right before the first byte; nil for probes, and for what another process has begun
 
-	wroteAt time.Time  // right before the first byte; zero: none was written
-	writing sync.Mutex // held while the request is being written
+	told    time.Duration // what the peer is told of the time that is left
+	wroteAt time.Time     // right before the first byte; zero: none was written
+	writing sync.Mutex    // held while the request is being written
 
 	mu      sync.Mutex
 	conn    *conn
@@ -162,12 +160,12 @@
 		return false, false
 	}
 	if x.ended || !wanted {
-		if x.withheld != nil {
-			x.withheld(why)
+		if x.attempt != nil {
+			x.attempt.withheld(why)
 		}
 		return false, true
 	}
-	if x.permit != nil && !x.permit() {
+	if x.attempt != nil && !x.attempt.permits() {
 		return false, true
 	}
 	x.writing.Lock()
@@ -181,8 +179,8 @@
 	if ctx.Err() != nil {
 		return guard.CalledOff, false
 	}
-	if x.wanted != nil {
-		if why, wanted = x.wanted(); !wanted {
+	if x.attempt != nil {
+		if why, wanted = x.attempt.wanted(); !wanted {
 			return why, false
 		}
 	}
@@ -242,7 +240,7 @@
 	first := !x.ended
 	if first {
 		x.ended, x.called = true, called
-		if called && !x.begun && x.wanted != nil { // and it never will: it surely has not run
+		if called && !x.begun && x.attempt != nil { // and it never will: it surely has not run
 			e.result = map[bool]balance.Result{true: balance.ConnectFailed, false: balance.Moot}[e.result == balance.TimedOut]
 		}
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -64,52 +64,60 @@
 // What is not wanted any more once a connection is up is not written.
 func (s *Stage) Try(c *request.Context, attempt int, peer string, by time.Time) (cancel func()) {
 	x := s.exchange(c, attempt, peer)
-	x.by, x.wanted = by, func() (guard.Reason, bool) { return s.wanted(c, peer) }
-	x.permit = func() bool { return s.permits(c, attempt, peer) }
-	x.withheld = func(why guard.Reason) { s.guard.Withheld(why, c.ID, attempt, peer) }
+	x.by, x.attempt = by, &guarded{s, c, attempt, peer}
 	ctx, at := x.begin(c.Deadline), s.pool.reserve(x)
 	go func() {
-		var told time.Duration
-		words := func() (text []byte) {
-			text, told = head(c)
+		if x.run(ctx, s.pool, at, func() (text []byte) {
+			text, x.told = head(c)
 			return text
-		}
-		if x.run(ctx, s.pool, at, words, c.Body) {
+		}, c.Body) {
 			s.events.Written(c)
 		}
 		if !x.wroteAt.IsZero() {
-			s.check(c, x, told)
+			s.check(c, x)
 		}
 	}()
 	return func() { x.cancel(errCancelled) }
 }
 
-// wanted reports whether an attempt is still wanted right before its first byte, and if not, why.
-func (s *Stage) wanted(c *request.Context, peer string) (why guard.Reason, yes bool) {
+// guarded is an attempt as it is held against its request right before its first byte.
+type guarded struct {
+	s      *Stage
+	c      *request.Context
+	number int
+	peer   string
+}
+
+// wanted reports whether the attempt is still wanted, and if not, why.
+func (g *guarded) wanted() (why guard.Reason, yes bool) {
+	s, c := g.s, g.c
 	select {
 	case <-c.Ended():
 		return guard.RequestEnded, false
 	default:
 	}
-	if c.Present != nil && !c.Present() {
+	if c.Client != nil && !c.Client.Present() {
 		return guard.ClientGone, false
 	}
-	return guard.WorkerDrains, s.pool.serves(peer)
+	return guard.WorkerDrains, s.pool.serves(g.peer)
 }
 
 // permits asks the ledger of the request's attempts whether one more may begin, and records it. That the decisions ask for one
 // that may not is a violation.
-func (s *Stage) permits(c *request.Context, attempt int, peer string) bool {
-	refusal := c.Attempts.Begin(c.Policy, attempt, s.pool.target(peer), time.Now())
+func (g *guarded) permits() bool {
+	refusal := g.c.Attempts.Begin(g.c.Policy, g.number, g.s.pool.target(g.peer), time.Now())
 	if refusal == "" {
 		return true
 	}
-	s.guard.Violated(guard.RepeatAllowed, "id", c.ID, "attempt", attempt, "worker", peer, "why", refusal)
+	g.s.guard.Violated(guard.RepeatAllowed, "id", g.c.ID, "attempt", g.number, "worker", g.peer, "why", refusal)
 	return false
 }
 
+// withheld tells that the attempt does not begin.
+func (g *guarded) withheld(why guard.Reason) { g.s.guard.Withheld(why, g.c.ID, g.number, g.peer) }
+
 // check holds what was written against the promises, by when its first byte went out.
-func (s *Stage) check(c *request.Context, x *exchange, told time.Duration) {
+func (s *Stage) check(c *request.Context, x *exchange) {
 	select {
 	case <-c.Ended():
 		if late := x.wroteAt.Sub(c.EndedAt()); late > guard.WantedSlack {
@@ -120,8 +128,8 @@
 	if since := s.pool.outSince(x.peer); !since.IsZero() && x.wroteAt.Sub(since) > guard.DrainSlack {
 		s.guard.Violated(guard.WorkerInService, "id", c.ID, "worker", x.peer, "late", x.wroteAt.Sub(since))
 	}
-	if left := c.Deadline.Sub(x.wroteAt); told > left+guard.DeadlineSlack {
-		s.guard.Violated(guard.DeadlineTold, "id", c.ID, "worker", x.peer, "told", told, "left", left)
+	if left := c.Deadline.Sub(x.wroteAt); x.told > left+guard.DeadlineSlack {
+		s.guard.Violated(guard.DeadlineTold, "id", c.ID, "worker", x.peer, "told", x.told, "left", left)
 	}
 }
 
