A process that ends waits for open requests that are on their way to the next one

A request that moves leaves its place (admission, connections) before its message is written; finish found nothing open, Serve returned, and the link was closed under the messages that waited. Change: succession counts open requests on their way as it does idle connections, and end waits for both. The wait of test links is a minute in place of a second.

--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -49,6 +49,9 @@
 // move gives an open request to the other process, if it can go now. last says that its client's connection ends with
 // the answer.
 func (s *succession) move(c *request.Context, from held, last bool) bool {
+	// Guards against an end of the process, which has no open requests any more, while this one is on its way.
+	s.gives.Add(1)
+	defer s.gives.Done()
 	var d *transport.Detached
 	m, try, peer, ok := s.n.route.Release(c, func() bool {
 		d = s.n.peers.Detach(c.ID)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -114,7 +114,7 @@
 	ended := w.ended
 	d := Doors{Clients: ln, Control: calls, Reloads: w.reloads}
 	for _, dir := range dir { // another process may take over
-		if d.Heirs, err = handover.Listen(dir, c.Listen, time.Second); err != nil {
+		if d.Heirs, err = handover.Listen(dir, c.Listen, time.Minute); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -34,7 +34,7 @@
 	going chan struct{} // closed while open requests are to go there
 	over  bool          // nothing is to be started any more
 	work  sync.WaitGroup
-	gives sync.WaitGroup // connections on their way
+	gives sync.WaitGroup // connections and open requests on their way
 }
 
 // roster keeps the upstream group as discovery has told it, for the process that comes after this one.
--- a/internal/sim/mutants/mutants.go
+++ b/internal/sim/mutants/mutants.go
@@ -74,7 +74,7 @@
 		{balancer, "return r.c.Effect == Safe || (r.c.Effect == Keyed && r.c.Scope == AllWorkers) || r.maybeRan() == nil", "return true"}}},
 	// Two guards stand one behind the other: the decision, and the look right before the first byte.
 	{"drain-unheard", "rule 3, a drain and a death", []Change{
-		{balancer, "|| w.State != Ready || !w.told\n", "|| !w.told\n"}, {sending, "	return guard.WorkerDrains, s.pool.serves(g.peer)\n", "	return guard.WorkerDrains, true\n"}}},
+		{balancer, "|| w.State != Ready || !w.told\n", "|| !w.told\n"}, {sending, "	return guard.WorkerDrains, g.s.pool.serves(g.peer)\n", "	return guard.WorkerDrains, true\n"}}},
 	{"reconnect-skips-a-change", "rule 3, SIGTERM and a watch that is asked for anew", []Change{
 		{watching, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version)`, `fmt.Sprintf("/v1/endpoints?follow=1&since=%d", c.version+1)`}}},
 	{"missing-from-full-list", "rule 3, a full list that no longer names a peer", []Change{
--- a/internal/soak/planted.go
+++ b/internal/soak/planted.go
@@ -42,7 +42,7 @@
 	{"unsafe-repeat-decided", "own-check", load(150, 40, Trouble{Kind: WorkerReset, At: 1000, For: 5000, Amount: 1}), []mutants.Change{resetIsSafe}},
 	{"drain-unheard", "drain", load(150, 60, Trouble{Kind: WorkerDrain, At: 1500, For: 5000, Amount: 0.6}), []mutants.Change{
 		{File: balanceFile, Old: "|| w.State != Ready || !w.told\n", New: "|| !w.told\n"},
-		{File: transportFile, Old: "	return guard.WorkerDrains, s.pool.serves(g.peer)\n", New: "	return guard.WorkerDrains, true\n"}}},
+		{File: transportFile, Old: "	return guard.WorkerDrains, g.s.pool.serves(g.peer)\n", New: "	return guard.WorkerDrains, true\n"}}},
 	{"slow-start-ignored", "slow-start", load(1100, 40, Trouble{Kind: WorkerKill, At: 1000, For: 500, Amount: 0.8}), []mutants.Change{
 		{File: slowStartFile, Old: "	if f >= 1 || b.s.FallMultiple <= 0 {\n", New: "	if f >= 0 {\n"},
 		{File: balanceFile, Old: "	b.checkSlowStart(w, r)\n", New: ""}}},
@@ -51,7 +51,7 @@
 	{"left-unheard", "left", load(300, 120, Trouble{Kind: WorkerHang, At: 1000, For: 2500, Amount: 0.8}, Trouble{Kind: ClientsLeave, At: 800, For: 5000, Amount: 0.7}), []mutants.Change{
 		{File: dispatchFile, Old: "		if e := r.open[c.ID]; e != nil && e.c == c && !e.over {\n			r.b.Vanished", New: "		if e := r.open[c.ID]; e != nil && false {\n			r.b.Vanished"},
 		{File: dispatchFile, Old: "	case <-e.c.Ended():\n		// Guards", New: "	case <-make(chan int):\n		// Guards"},
-		{File: transportFile, Old: "	case <-c.Ended():\n		return guard.RequestEnded, false\n	default:\n	}\n	if c.Client != nil && !c.Client.Present() {", New: "	default:\n	}\n	if false {"}}},
+		{File: transportFile, Old: "	case <-g.c.Ended():\n		return guard.RequestEnded, false\n	default:\n	}\n	if g.c.Client != nil && !g.c.Client.Present() {", New: "	default:\n	}\n	if false {"}}},
 	{"heads-for-ever", "rude-client", load(100, 20, Trouble{Kind: ClientsStop, At: 500, For: 2500, Amount: 30}), []mutants.Change{
 		{File: ingressFile, Old: "	if c.resting && c.headWait > 0 &&", New: "	if false && c.resting && c.headWait > 0 &&"}}},
 	{"accept-ends", "process", load(100, 40, Trouble{Kind: Calls, Call: "accept4:error=ENOBUFS:when=8+9"}), []mutants.Change{
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -90,16 +90,15 @@
 
 // wanted reports whether the attempt is still wanted, and if not, why.
 func (g *guarded) wanted() (why guard.Reason, yes bool) {
-	s, c := g.s, g.c
 	select {
-	case <-c.Ended():
+	case <-g.c.Ended():
 		return guard.RequestEnded, false
 	default:
 	}
-	if c.Client != nil && !c.Client.Present() {
+	if g.c.Client != nil && !g.c.Client.Present() {
 		return guard.ClientGone, false
 	}
-	return guard.WorkerDrains, s.pool.serves(g.peer)
+	return guard.WorkerDrains, g.s.pool.serves(g.peer)
 }
 
 // permits asks the ledger of the request's attempts whether one more may begin, and records it. That the decisions ask for one
