A log line is written before what follows it, while its reader keeps up

Its trap stops a node as the leader's log tells of a confirmed exit; with the log in the background the confirmation could reach the node before the line was out. Change: a write waits up to 2 ms for its line, and not at all once the reader is behind, until that has caught up.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -13,27 +13,50 @@
 // Sink is a writer of whole lines that hands them to another one in the background. What does not fit in its queue is dropped, and
 // counted.
 type Sink struct {
-	lines   chan []byte
+	lines   chan line
+	behind  atomic.Bool // its reader is behind: nobody waits for it
 	end     chan struct{}
 	over    chan struct{}
 	dropped atomic.Int64
 }
 
+// line is a line on its way.
+type line struct {
+	text    []byte
+	written chan struct{} // closed once it has been written
+}
+
+// patience is how long a write waits for its line to be written while the reader keeps up: lines then are where they belong before
+// what follows them happens.
+const patience = 2 * time.Millisecond
+
 // New returns a sink with room for so many lines in front of a writer.
 func New(to io.Writer, room int) *Sink {
-	s := &Sink{lines: make(chan []byte, room), end: make(chan struct{}), over: make(chan struct{})}
+	s := &Sink{lines: make(chan line, room), end: make(chan struct{}), over: make(chan struct{})}
 	go s.run(to)
 	return s
 }
 
-// Write implements io.Writer. It never waits and never fails.
-func (s *Sink) Write(line []byte) (int, error) {
+// Write implements io.Writer. It never fails, and waits for a reader that keeps up, a moment at most.
+func (s *Sink) Write(text []byte) (int, error) {
+	l := line{bytes.Clone(text), make(chan struct{})}
 	select {
-	case s.lines <- bytes.Clone(line):
+	case s.lines <- l:
 	default:
 		s.dropped.Add(1)
+		return len(text), nil
 	}
-	return len(line), nil
+	if s.behind.Load() {
+		return len(text), nil
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-l.written:
+	case <-timer.C:
+		s.behind.Store(true)
+	}
+	return len(text), nil
 }
 
 // Dropped is how many lines were dropped.
@@ -54,8 +77,12 @@
 func (s *Sink) run(to io.Writer) {
 	defer close(s.over)
 	told := int64(0)
-	write := func(line []byte) {
-		to.Write(line)
+	write := func(l line) {
+		to.Write(l.text)
+		close(l.written)
+		if len(s.lines) == 0 {
+			s.behind.Store(false)
+		}
 		if dropped := s.dropped.Load(); dropped > told && len(s.lines) == 0 {
 			fmt.Fprintf(to, "log lines dropped since the start: %d\n", dropped)
 			told = dropped
@@ -63,15 +90,15 @@
 	}
 	for {
 		select {
-		case line := <-s.lines:
-			write(line)
+		case l := <-s.lines:
+			write(l)
 			continue
 		case <-s.end:
 		}
 		for {
 			select {
-			case line := <-s.lines:
-				write(line)
+			case l := <-s.lines:
+				write(l)
 			default:
 				return
 			}
