Review case 1: a worker that dies during a replacement crashes the new process

Cause: a worker's connection that is reset while it lies in the link between two processes has no peer any more; transport's resume calls String on its nil remote address, on the goroutine that owns the balancer. Adds: review/1 with its claim and script, and its scenario in review/rig.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/rig ] && [ -x bin/swiftdeal ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
-exec review/bin/rig endless review/1/record.txt
+exec review/bin/rig handover review/1/record.txt
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -38,11 +38,10 @@
 // late returns how long after its time the request was answered, or the time was over without an answer.
 func (r reply) late() time.Duration { return r.answered.Sub(r.sent) - r.deadline }
 
-// clients sends requests to a node and keeps connections, unless fresh is set.
+// clients sends requests to a node and keeps connections.
 type clients struct {
-	w     *world
-	addr  string
-	fresh bool // each request goes on a new connection
+	w    *world
+	addr string
 
 	mu      sync.Mutex
 	idle    []*clientConn
@@ -147,7 +146,7 @@
 		conn.Close()
 		return true, 0, "", err
 	}
-	if resp.Close || c.fresh {
+	if resp.Close {
 		conn.Close()
 		return true, resp.StatusCode, string(content), nil
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,9 +18,9 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]func(w *world, trouble bool) (broken []string, err error){
+	"handover": playHandover,
 	"endless":  playEndless,
 	"halves":   playHalves,
-	"replaced": playReplaced,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -26,7 +26,7 @@
 	inflight int
 	waiting  []*job
 	spoil    func(k *worker, j *job) (spoilt bool) // may write what follows the line of the start; the connection then ends
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]bool                     // whether the connection has a job
 	listener net.Listener
 }
 
@@ -47,7 +47,7 @@
 	k := &worker{
 		w: w, id: id, addr: ln.Addr().String(), slots: slots, free: slots, runTime: runTime, conns: map[net.Conn]bool{}, listener: ln,
 	}
-	go k.accept()
+	go k.accept(ln)
 	w.onClose(k.close)
 	return k, nil
 }
@@ -57,9 +57,9 @@
 	return entry{ID: k.id, Addr: k.addr, Zone: zone, Kind: "std-4", Cell: cell, State: state, Weight: 1}
 }
 
-func (k *worker) accept() {
+func (k *worker) accept(ln net.Listener) {
 	for {
-		conn, err := k.listener.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -72,9 +72,9 @@
 
 // close ends the worker and resets its connections.
 func (k *worker) close() {
-	k.listener.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.listener.Close()
 	for conn := range k.conns {
 		conn.Close()
 	}
@@ -195,3 +195,31 @@
 func runFor(span time.Duration) func(*http.Request) time.Duration {
 	return func(*http.Request) time.Duration { return span }
 }
+
+// die ends the worker's process: its jobs are lost, its connections are reset, and new ones are refused.
+func (k *worker) die() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listener.Close()
+	k.w.note("worker %s: its process dies with %d connections and %d jobs", k.id, len(k.conns), k.inflight)
+	for conn := range k.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+// restart starts the worker's process again at its address.
+func (k *worker) restart() error {
+	ln, err := net.Listen("tcp", k.addr)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.listener = ln
+	k.mu.Unlock()
+	k.w.note("worker %s: its process starts again", k.id)
+	go k.accept(ln)
+	return nil
+}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -120,6 +121,7 @@
 	config  string // path of the configuration file
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
+	crashed atomic.Bool   // it has ended by itself, and not with 0
 }
 
 // nodeOptions describes a node to start.
@@ -182,6 +184,7 @@
 	w.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
+		n.crashed.Store(cmd.ProcessState.ExitCode() > 0)
 		w.note("node %s: process %d has ended: %v", o.name, cmd.Process.Pid, err)
 		if text, err := os.ReadFile(logFile.Name()); err == nil {
 			w.note("log of node %s:\n%s", o.name, lastBytes(string(text), 4000))
