--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -34,7 +34,7 @@
 type discovery struct {
 	w     *world
 	addr  string
-	calls chan struct{} // takes a value at each call, if there is room
+	calls chan time.Time // takes the time of each call, if there is room
 
 	mu      sync.Mutex
 	version int
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	d := &discovery{
-		w: w, addr: ln.Addr().String(), calls: make(chan struct{}, 1), version: firstVersion, entries: entries,
+		w: w, addr: ln.Addr().String(), calls: make(chan time.Time, 1), version: firstVersion, entries: entries,
 		changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -104,7 +104,7 @@
 // serve answers a call for the list, or a watch.
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
 	select {
-	case d.calls <- struct{}{}:
+	case d.calls <- time.Now():
 	default:
 	}
 	if r.URL.Query().Get("follow") == "" {
--- a/review/rig/handover.go
+++ b/review/rig/handover.go
@@ -19,7 +19,8 @@
 	handoverBody     = 60 << 10 // bytes of a job's body
 	handoverTimes    = 12
 	handoverEvery    = 5 * time.Second
-	handoverWithin   = 60 * time.Millisecond   // time from the next process's first call to discovery in which a worker dies
+	handoverWithin   = 60 * time.Millisecond   // least time from the next process's first call to discovery in which a worker dies
+	handoverLonger   = 3                       // the time is so many times that from that call to the yes, where that is longer
 	handoverDown     = time.Second             // the worker is away for so long
 	handoverTold     = 1500 * time.Millisecond // discovery tells of its new start so long after it
 )
@@ -43,14 +44,16 @@
 		defer close(sent)
 		c.steady(handoverRate, time.Hour, handoverRequest, func() bool { return !isClosed(stop) })
 	}()
+	within := handoverWithin
 	for i := range handoverTimes {
 		time.Sleep(handoverEvery)
 		select {
 		case <-d.calls:
 		default:
 		}
+		called := make(chan time.Time, 1)
 		if trouble {
-			go dieDuring(d, workers[i%len(workers)])
+			go dieDuring(d, workers[i%len(workers)], within, called)
 		}
 		next, err := w.replace(serving, o)
 		if err != nil {
@@ -61,6 +64,11 @@
 			break
 		}
 		serving = next
+		select {
+		case at := <-called:
+			within = max(handoverWithin, handoverLonger*next.yesAt.Sub(at))
+		default:
+		}
 	}
 	close(stop)
 	<-sent
@@ -116,15 +124,16 @@
 	}
 }
 
-// dieDuring ends the process of a worker within handoverWithin of the next call to discovery, which the node's next process makes. The
-// worker comes back at the same address, and discovery tells of its new start.
-func dieDuring(d *discovery, k *worker) {
+// dieDuring ends the process of a worker within a time of the next call to discovery, which the node's next process makes. The worker
+// comes back at the same address, and discovery tells of its new start.
+func dieDuring(d *discovery, k *worker, within time.Duration, called chan<- time.Time) {
 	select {
-	case <-d.calls:
+	case at := <-d.calls:
+		called <- at
 	case <-time.After(timeToYes):
 		return
 	}
-	time.Sleep(rand.N(handoverWithin))
+	time.Sleep(rand.N(within))
 	k.die()
 	time.Sleep(handoverDown)
 	started := time.Now()
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -22,6 +22,7 @@
 	}
 	for begin := time.Now(); time.Since(begin) < timeToYes; time.Sleep(20 * time.Millisecond) {
 		if call(http.MethodGet, next.control, "/-/ready")/100 == 2 {
+			next.yesAt = time.Now()
 			w.note("platform: the second process says yes at %s", next.control)
 			break
 		}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -122,6 +122,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
 	crashed atomic.Bool   // it has ended by itself, and not with 0
+	yesAt   time.Time     // when it said yes to the platform, if it replaced another
 }
 
 // nodeOptions describes a node to start.
