--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the cases, which are one program, after the build of the deploy file. Needs no network.
+# Builds the stand-ins of the cases, which are one program in a module of its own, after the build of the deploy file. They use the
+# standard library alone, so that this needs no network.
 set -eu
-cd "$(dirname "$0")/.."
-mkdir -p review/bin
-go build -o review/bin/rig ./review/rig
+cd "$(dirname "$0")/rig"
+mkdir -p ../bin
+go build -o ../bin/rig .
