Node: complete open requests if the successor dies during shutdown

Cause: handOver closes the channel that tells open requests to migrate, and successorExited replaced it only where the process takes clients again, which one that is terminating does not. Each request was taken off its connection, sent to the closed link, imported again, and so on without a pause. Besides, finishAfterHandover had set the worker connections to 0 once no request was open, and nothing restored them.

Evidence: with a print in migrate (a trial copy) the same requests appear every 2 to 4 ms until SIGKILL, with 64 bytes of their results unread in the sockets. With the channel alone replaced, the test's request waited until its client left, as its worker's health check was suppressed for want of a connection.

Change: when the link of the successor that took over ends, the channel is replaced and the node's limits are in force again, whether or not the process is terminating; worker connections stay at 0 only while a successor serves. A process that terminates still accepts no new clients.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -146,12 +146,7 @@
 	defer ticker.Stop()
 	givenUp := false
 	for ; n.admission.OpenRequests() > 0 || n.connections.count() > 0 || n.handover.predecessorAlive(); <-ticker.C {
-		if n.admission.OpenRequests() == 0 {
-			// Guards against exceeding the node's limits while three processes run: the predecessor of this process may
-			// still use some, and the successor uses the full limits once this process exits. This process therefore stays
-			// until its predecessor has exited, at most until end, and keeps no worker connections meanwhile.
-			n.transport.Resize(0)
-		}
+		n.resizeAfterHandover()
 		remaining := time.Until(end)
 		if remaining <= 0 {
 			n.connections.closeIdle(0)
@@ -164,3 +159,15 @@
 		}
 	}
 }
+
+// resizeAfterHandover sets the maximum number of worker connections while this process finishes after a handover. It keeps none
+// once it has no open request. This guards against exceeding the node's limits while three processes run: the predecessor of
+// this process may still use some, and the successor uses the full limits once this process exits. This process therefore stays
+// until its predecessor has exited. If the successor has died, requests read from now on are served here, and need connections.
+func (n *Node) resizeAfterHandover() {
+	if !n.handover.handedOver() {
+		n.transport.Resize(n.limitsInForce.current().WorkerConns)
+	} else if n.admission.OpenRequests() == 0 {
+		n.transport.Resize(0)
+	}
+}
--- a/internal/node/interleavings_test.go
+++ b/internal/node/interleavings_test.go
@@ -63,13 +63,7 @@
 	<-w.jobs
 	w.stop()
 	late := w.dial(t)
-	for { // until the drain has closed the listener
-		c, err := net.Dial("tcp", w.addr)
-		if err != nil {
-			break
-		}
-		c.Close()
-	}
+	w.awaitClosedListener()
 	fmt.Fprintf(late, requestText, "late")
 	resp, err := http.ReadResponse(bufio.NewReader(late), nil)
 	if err != nil || resp.StatusCode != 503 || !resp.Close {
--- a/internal/node/migration_test.go
+++ b/internal/node/migration_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"swiftdeal/internal/config"
 	"swiftdeal/internal/handover"
+	"swiftdeal/internal/platform"
 )
 
 // A process that is terminated while open requests are being sent to its successor exits only after they were sent. The
@@ -58,3 +61,57 @@
 		t.Error(err)
 	}
 }
+
+// takeOver acts as a successor that takes over from the node and dies when the link is closed.
+func (w *testNode) takeOver(t *testing.T, dir string) handover.Link {
+	t.Helper()
+	link, err := handover.Dial(dir, w.config.Listen, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { link.Close() })
+	_, listener, err := handover.Handshake(link, w.config.Listen, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	link.Send(handover.Message{Kind: handover.KindTakeOver})
+	if m, _, err := link.Receive(time.Minute); err != nil || m.Kind != handover.KindState {
+		t.Fatalf("got %q, want %q: %v", m.Kind, handover.KindState, err)
+	}
+	return link
+}
+
+// awaitClosedListener waits until the node has closed its listener for clients.
+func (w *testNode) awaitClosedListener() {
+	for {
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			return
+		}
+		c.Close()
+	}
+}
+
+// A process that is terminated after its successor has taken over, and whose successor then dies, completes the requests that it
+// still has and exits. It does not go on passing them to the successor that is gone.
+func TestSuccessorDiesDuringShutdown(t *testing.T) {
+	dir := t.TempDir()
+	w := startNodeWith(t, platform.Real(), withQuickDials, func(*config.Config) {}, dir)
+	c := w.client(t)
+	fmt.Fprint(c, "POST /job HT") // a connection that is not idle stays
+	link := w.takeOver(t, dir)
+	w.stop()
+	w.awaitClosedListener()
+	link.Close()
+	fmt.Fprint(c, "TP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n")
+	w.results <- "result"
+	c.SetReadDeadline(time.Now().Add(20 * time.Second)) // reached only on failure
+	if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%v %v, want 200", resp, err)
+	}
+	c.Close()
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/reset_peers_test.go
+++ b/internal/node/reset_peers_test.go
@@ -57,13 +57,15 @@
 	}
 }
 
+// withQuickDials shortens the dial timeout in a configuration file: the backoff of a worker after a failure is a multiple of it.
+func withQuickDials(text string) string {
+	return strings.Replace(text, `"dialTimeoutMs":60000`, `"dialTimeoutMs":200`, 1)
+}
+
 // Connections that their peers reset while a predecessor passes them do not end the successor: a request whose worker died is
 // retried and answered, one whose client left is canceled, and what follows on the link is served.
 func TestPeersResetDuringHandover(t *testing.T) {
-	quickDials := func(text string) string {
-		return strings.Replace(text, `"dialTimeoutMs":60000`, `"dialTimeoutMs":200`, 1)
-	}
-	w := startNodeWith(t, platform.Real(), quickDials, func(*config.Config) {})
+	w := startNodeWith(t, platform.Real(), withQuickDials, func(*config.Config) {})
 	clocks := &handover.Clocks{Monotonic: platform.Real().Monotonic(), Balancer: time.Duration(time.Now().UnixNano())}
 	workerDied, clientLeft := newPassedConn(t, false), newPassedConn(t, true)
 	abandoned, running, idle := newPassedConn(t, false), newPassedConn(t, false), newPassedConn(t, false)
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -37,7 +37,7 @@
 	for err == nil {
 		err = h.receiveStep(link, id)
 	}
-	h.successorExited(id, err)
+	h.successorExited(link, id, err)
 }
 
 // rejectReason returns why a process may not take over now. If it may, the reason is empty, and no other process may take
@@ -114,26 +114,31 @@
 	return nil
 }
 
-// successorExited handles the end of a successor's link. If the successor served the clients and this process is not
-// terminating, this process serves them again.
-func (h *processHandover) successorExited(id int, err error) {
+// successorExited handles the end of a successor's link. Open requests that have not migrated stay in this process. If the
+// successor served the clients and this process is not terminating, this process serves them again.
+func (h *processHandover) successorExited(link handover.Link, id int, err error) {
 	h.mu.Lock()
 	resumes, closed := h.handoff.LinkLost(id), h.closed
+	handedOver := h.successor == link
+	if handedOver {
+		h.successor, h.migrating = nil, make(chan struct{})
+	}
 	h.mu.Unlock()
 	if closed { // this process has terminated before its successor, as it should
 		return
 	}
 	n := h.node
 	n.log.Info("successor exited", "takes_clients_again", resumes, "why", err)
+	if resumes {
+		n.connections.handOffIdle(nil)
+		n.dispatcher.Standby(false)
+	}
+	if handedOver {
+		n.shareLimits(false)
+	}
 	if !resumes {
 		return
 	}
-	h.mu.Lock()
-	h.successor, h.migrating = nil, make(chan struct{})
-	h.mu.Unlock()
-	n.connections.handOffIdle(nil)
-	n.dispatcher.Standby(false)
-	n.shareLimits(false)
 	h.listener.resume()
 	if err := n.fleet.join(true); err != nil {
 		n.log.Error("fleet membership lost", "error", err)
