Node: restore the limits also if the successor died before its state

Callers would see: after a successor that died between its take-over message and the state, the old process serves with half of the node's limits until it ends.

Change: Handoff.LinkLost also reports whether the lost link was that of a process that had taken over; the limits follow that. The channel for migrations is still replaced only if it was closed: otherwise requests would wait on a channel that nobody closes.

--- a/internal/handover/handoff.go
+++ b/internal/handover/handoff.go
@@ -27,15 +27,15 @@
 	return true
 }
 
-// LinkLost records the end of a link, and reports whether this process must accept clients again: the link was that of the
-// successor that accepted them.
-func (h *Handoff) LinkLost(link int) (resume bool) {
+// LinkLost records the end of a link. It reports whether the link was that of a successor that accepted clients, and if so,
+// whether this process must accept them again.
+func (h *Handoff) LinkLost(link int) (handedOver, resume bool) {
 	if link != h.successor {
-		return false
+		return false, false
 	}
-	resume = h.handedOver && !h.shuttingDown
+	handedOver = h.handedOver
 	h.successor, h.handedOver = 0, false
-	return resume
+	return handedOver, handedOver && !h.shuttingDown
 }
 
 // Shutdown records that this process is ending. It reports whether a successor accepts clients.
--- a/internal/node/migration_test.go
+++ b/internal/node/migration_test.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// takeOver acts as a successor that takes over from the node and dies when the link is closed.
-func (w *testNode) takeOver(t *testing.T, dir string) handover.Link {
+// beginTakeOver acts as a successor that asks to take over from the node. It dies when the link is closed.
+func (w *testNode) beginTakeOver(t *testing.T, dir string) handover.Link {
 	t.Helper()
 	link, err := handover.Dial(dir, w.config.Listen, time.Minute)
 	if err != nil {
@@ -77,7 +77,16 @@
 		t.Fatal(err)
 	}
 	listener.Close()
-	link.Send(handover.Message{Kind: handover.KindTakeOver})
+	if err := link.Send(handover.Message{Kind: handover.KindTakeOver}); err != nil {
+		t.Fatal(err)
+	}
+	return link
+}
+
+// takeOver acts as a successor that has taken over from the node.
+func (w *testNode) takeOver(t *testing.T, dir string) handover.Link {
+	t.Helper()
+	link := w.beginTakeOver(t, dir)
 	if m, _, err := link.Receive(time.Minute); err != nil || m.Kind != handover.KindState {
 		t.Fatalf("got %q, want %q: %v", m.Kind, handover.KindState, err)
 	}
@@ -168,3 +177,35 @@
 		t.Error(err)
 	}
 }
+
+// A process whose successor has died has the whole of the node's limits again, also if the successor died before it had received
+// the state. With half of them, the third request would be rejected.
+func TestLimitsAfterSuccessorDies(t *testing.T) {
+	for name, takeOver := range map[string]func(w *testNode, dir string) handover.Link{
+		"before the state": func(w *testNode, dir string) handover.Link { return w.beginTakeOver(t, dir) },
+		"after the state":  func(w *testNode, dir string) handover.Link { return w.takeOver(t, dir) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			w := startNode(t, func(l *config.Limits) { l.ClientConns, l.OverflowConns = 4, 2 }, dir)
+			http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+			takeOver(w, dir).Close()
+			for code := 0; code != 200; code, _ = w.controlCall(t, "GET", "/-/ready") {
+				time.Sleep(time.Millisecond)
+			}
+			clients := []testClient{w.client(t), w.client(t), w.client(t)}
+			for i, c := range clients {
+				c.send(fmt.Sprint("long", i))
+				select {
+				case <-w.jobs:
+				case <-time.After(20 * time.Second): // reached only on failure
+					t.Fatalf("request %d did not reach the worker", i)
+				}
+			}
+			for _, c := range clients {
+				w.longResults <- "result"
+				c.expectServed(t)
+			}
+		})
+	}
+}
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -118,11 +118,11 @@
 // successor served the clients and this process is not terminating, this process serves them again.
 func (h *processHandover) successorExited(link handover.Link, id int, err error) {
 	h.mu.Lock()
-	resumes, closed := h.handoff.LinkLost(id), h.closed
-	handedOver := h.successor == link
-	if handedOver {
+	handedOver, resumes := h.handoff.LinkLost(id)
+	if h.successor == link {
 		h.successor, h.migrating = nil, make(chan struct{})
 	}
+	closed := h.closed
 	h.mu.Unlock()
 	if closed { // this process has terminated before its successor, as it should
 		return
