Dispatch: metrics that tell which events wait for the decision module, and how long

Change: the event queue counts events by kind of source (waiting, handled, time waited) and keeps the longest wait: gw_events_waiting, gw_events_handled, gw_event_wait_us, gw_event_wait_longest_us.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,7 +1,7 @@
 // Package dispatch connects requests, workers and discovery to the Balancer. One goroutine, that of Dispatcher.Run, owns the
 // Balancer. All others enqueue events for it, and the Balancer's actions start work that reports back with later events.
 //
-// Files: queue (events), requests (from admission to the answer), attempts, endpoints (the list of workers and their health),
+// Files: queue (events), eventstats (figures of the queue), requests (from admission to the answer), attempts, endpoints (the list of workers and their health),
 // migration (export to and import from another process), counts (figures that are read without blocking) and clock.
 package dispatch
 
@@ -101,7 +101,7 @@
 		return
 	}
 	for _, e := range d.queue.takeAll() {
-		e.run()
+		d.queue.handle(e)
 	}
 	d.counts.refresh(d.balancer)
 }
@@ -114,7 +114,7 @@
 		if !ok {
 			return
 		}
-		e.run()
+		d.queue.handle(e)
 		d.counts.refresh(d.balancer)
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,19 +2,23 @@
 
 import (
 	"sync"
+	"time"
 
 	"swiftdeal/internal/platform"
 )
 
 // event is a function to be run by the goroutine that owns the Balancer.
 type event struct {
-	source platform.EventSource
-	run    func()
+	source     platform.EventSource
+	enqueuedAt time.Time
+	run        func()
 }
 
-// eventQueue is an unbounded queue. Enqueueing never blocks, so that parts of the node cannot deadlock on one another. Its length
-// is limited by the number of open requests with their timers and attempts. It may be used by any goroutine.
+// eventQueue is a queue without a bound of its own. Enqueueing never blocks, so that parts of the node cannot deadlock on one
+// another. Its length is limited by the number of open requests with their timers and attempts. It may be used by any goroutine.
 type eventQueue struct {
+	stats eventStats
+
 	mu       sync.Mutex
 	events   []event
 	reusable []event       // the batch returned last, whose memory is reused
@@ -24,8 +28,9 @@
 func newEventQueue() *eventQueue { return &eventQueue{ready: make(chan struct{}, 1)} }
 
 func (q *eventQueue) enqueue(source platform.EventSource, run func()) {
+	q.stats.enqueued(source.Kind)
 	q.mu.Lock()
-	q.events = append(q.events, event{source, run})
+	q.events = append(q.events, event{source, time.Now(), run})
 	q.mu.Unlock()
 	select {
 	case q.ready <- struct{}{}:
@@ -33,6 +38,12 @@
 	}
 }
 
+// handle runs an event that was taken from the queue.
+func (q *eventQueue) handle(e event) {
+	q.stats.taken(e.source.Kind, time.Since(e.enqueuedAt))
+	e.run()
+}
+
 // maxReusableEvents is the capacity up to which a batch's memory is reused. The memory of larger bursts is released.
 const maxReusableEvents = 1024
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -32,9 +32,26 @@
 			n.connections.closedCounts()),
 		labeledCounts("gw_answers", "Answers that were no result, by reason.", "reason", n.accounting.Reasons()),
 	)
+	list = append(list, n.eventMetrics()...)
 	return append(list, n.fleet.metrics()...)
 }
 
+// eventMetrics returns the metrics of the events that wait for the decision module.
+func (n *Node) eventMetrics() []control.Family {
+	waiting := labeledCounts("gw_events_waiting", "Events that wait for the decision module, by source.", "source",
+		n.dispatcher.EventsWaiting())
+	waiting.Gauge = true
+	return []control.Family{
+		waiting,
+		labeledCounts("gw_events_handled", "Events that the decision module has handled, by source.", "source",
+			n.dispatcher.EventsHandled()),
+		labeledCounts("gw_event_wait_us", "Time that all handled events have waited, in microseconds, by source.", "source",
+			n.dispatcher.EventWaits()),
+		control.Scalar("gw_event_wait_longest_us", "Longest wait of an event since the start, in microseconds.", true,
+			n.dispatcher.LongestEventWait()),
+	}
+}
+
 // classMetrics returns the request counts by class.
 func classMetrics(counts []accounting.ClassCounts) []control.Family {
 	served := control.Family{Name: "gw_served", Help: "Jobs answered with a worker's result.", Label: "class"}
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -8,7 +8,7 @@
 )
 
 // fixedLabels matches the metrics whose label values are part of the published interface.
-var fixedLabels = regexp.MustCompile(`^gw_(invariant_violations|attempts_withheld|attempts_ended|connections_closed)\{`)
+var fixedLabels = regexp.MustCompile(`^gw_(invariant_violations|attempts_withheld|attempts_ended|connections_closed|events_handled)\{`)
 
 // metricNames lists the names and types of metrics and the fixed label values, one per line.
 func metricNames(text string) string {
@@ -23,7 +23,8 @@
 	return strings.Join(names, "\n") + "\n"
 }
 
-// Metrics keep the names, types and labels in testdata/metrics.txt, which was written by revision 33b4d57. The node has all
+// Metrics keep the names, types and labels in testdata/metrics.txt, which was written by revision 33b4d57 and lists those added
+// since (gw_event*). The node has all
 // optional parts that publish metrics: a fleet, a control plane and fleet settings.
 func TestMetricNames(t *testing.T) {
 	want, err := os.ReadFile("testdata/metrics.txt")
