Dispatch: merge an attempt's progress reports, so that workers cannot fill the memory

Cause: Dispatcher.AttemptProgress put an event of its own into eventQueue for each running line. The queue has no bound and enqueueing never waits; the readers of the answers enqueue faster than the one goroutine that takes events out. A queue with 57 other events rules out timers, health checks and clients; log lines and connections do not grow with the pace of an answer. Change: the progress that an attempt has reported is one value, which later reports replace; the queue holds one event of an attempt in flight, whatever its worker sends. Related: results, ends, health checks and timers are answers to what the Balancer began, one for each.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -38,11 +38,18 @@
 	}
 }
 
-// AttemptProgress reports progress of an attempt in flight; share is the completed fraction of the job, from 0 to 1.
+// AttemptProgress reports progress of an attempt in flight; share is the completed fraction of the job, from 0 to 1. Reports that
+// arrive before an earlier one was handled are merged with it.
 func (d *Dispatcher) AttemptProgress(id string, attempt int, kind balance.ProgressKind, share float64) {
-	d.queue.enqueue(attemptSource(id, attempt), func() {
-		d.log.Debug("attempt progress", "id", id, "attempt", attempt, "kind", kind, "share", share)
-		d.balancer.AttemptProgress(d.now(), id, attempt, kind, share)
+	source := attemptSource(id, attempt)
+	if !d.progress.record(source, attemptProgress{kind, share}) {
+		d.counts.progressMerged.Add(1)
+		return
+	}
+	d.queue.enqueue(source, func() {
+		progress := d.progress.take(source)
+		d.log.Debug("attempt progress", "id", id, "attempt", attempt, "kind", progress.kind, "share", progress.share)
+		d.balancer.AttemptProgress(d.now(), id, attempt, progress.kind, progress.share)
 	})
 }
 
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -32,6 +32,7 @@
 	workersKnown, workersExcluded atomic.Int64
 	slowStartViolations           atomic.Int64
 	attemptResults                [len(attemptResultNames)]atomic.Int64
+	progressMerged                atomic.Int64 // reports of progress that were merged with an earlier one
 }
 
 // refresh updates the figures if the interval has passed since the last refresh, and schedules a refresh otherwise.
@@ -62,6 +63,10 @@
 // SlowStartViolations returns how many attempts the Balancer has started beyond the limits of slow start. It does not block.
 func (d *Dispatcher) SlowStartViolations() int64 { return d.counts.slowStartViolations.Load() }
 
+// ProgressMerged returns how many reports of progress were merged with an earlier one of their attempt that was still queued. It
+// does not block.
+func (d *Dispatcher) ProgressMerged() int64 { return d.counts.progressMerged.Load() }
+
 // AttemptResults returns how many attempts have ended, by result. It does not block.
 func (d *Dispatcher) AttemptResults() (list []invariant.Count) {
 	for i, name := range attemptResultNames {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,7 +1,8 @@
 // Package dispatch connects requests, workers and discovery to the Balancer. One goroutine, that of Dispatcher.Run, owns the
 // Balancer. All others enqueue events for it, and the Balancer's actions start work that reports back with later events.
 //
-// Files: queue (events), eventstats (figures of the queue), requests (from admission to the answer), attempts, endpoints (the list of workers and their health),
+// Files: queue (events), eventstats (figures of the queue), requests (from admission to the answer), attempts,
+// progress (the latest report of each attempt), endpoints (the list of workers and their health),
 // migration (export to and import from another process), counts (figures that are read without blocking) and clock.
 package dispatch
 
@@ -39,6 +40,7 @@
 // balance.Actions, which the Balancer calls. The fields of the second group are used only by the goroutine in Run.
 type Dispatcher struct {
 	queue          *eventQueue
+	progress       *progressTable
 	clock          clock
 	counts         counts
 	log            *slog.Logger
@@ -62,7 +64,7 @@
 	settings balance.Settings, seed uint64, countInterval time.Duration, order platform.EventOrder, log *slog.Logger,
 ) (*Dispatcher, error) {
 	d := &Dispatcher{
-		queue: newEventQueue(), clock: clock{startedAt: time.Now()}, counts: counts{interval: countInterval},
+		queue: newEventQueue(), progress: newProgressTable(), clock: clock{startedAt: time.Now()}, counts: counts{interval: countInterval},
 		log: log, debugEnabled: log.Enabled(context.Background(), slog.LevelDebug),
 		stopped: make(chan struct{}), endpointsKnown: make(chan struct{}),
 		requests: map[string]*openRequest{}, eventOrder: order,
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -15,7 +15,8 @@
 }
 
 // eventQueue is a queue without a bound of its own. Enqueueing never blocks, so that parts of the node cannot deadlock on one
-// another. Its length is limited by the number of open requests with their timers and attempts. It may be used by any goroutine.
+// another. Its length is limited by the number of open requests with their timers and attempts: what a peer can repeat without
+// end is merged before it is enqueued (progressTable). It may be used by any goroutine.
 type eventQueue struct {
 	stats eventStats
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,8 @@
 			n.dispatcher.EventWaits()),
 		control.Scalar("gw_event_wait_longest_us", "Longest wait of an event since the start, in microseconds.", true,
 			n.dispatcher.LongestEventWait()),
+		control.Scalar("gw_progress_merged", "Workers' reports of progress that a later one replaced before it was handled.", false,
+			n.dispatcher.ProgressMerged()),
 	}
 }
 
