Discovery: do not keep white space between messages, which filled the node's memory

Cause: the decoder of a watch keeps what it has read since the last message until the next one, and watchReader, which has a limit for messages, set its count back at each heartbeat. Change: white space between messages is not passed to the decoder. What the decoder has of the next message when it returns one counts as read, so that white space inside a message stays. Tests: discovery.TestHeartbeatsWithoutEnd failed before (33,565,064 bytes allocated for 8,388,608 heartbeats), TestWhiteSpaceInsideMessages.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -16,47 +16,72 @@
 		conn: conn, body: body, silenceTimeout: c.limits.WatchSilenceTimeout, maxBytes: c.limits.EndpointListBytes,
 		onHeartbeat: func() { c.heartbeat(from) },
 	}
-	decoder := json.NewDecoder(reader)
-	for first := true; ; first = false {
+	first := true
+	return reader.readMessages(func(text []byte) error {
+		err := c.deliver(from, text, first)
+		first = false
+		return err
+	})
+}
+
+// watchReader reads a watch and extends the connection's deadline at the end of each line. White space between messages is not
+// returned: the decoder would keep it until the next message.
+type watchReader struct {
+	conn           net.Conn
+	body           io.Reader
+	silenceTimeout time.Duration
+	maxBytes       int    // limit for a message
+	messageBytes   int    // of the current message, returned so far; 0 between messages
+	onHeartbeat    func() // called for each empty line between two messages
+}
+
+// readMessages passes each message to deliver, until the watch ends or deliver returns an error.
+func (r *watchReader) readMessages(deliver func(text []byte) error) error {
+	decoder := json.NewDecoder(r)
+	for {
 		var text json.RawMessage
 		if err := decoder.Decode(&text); err != nil {
 			return fmt.Errorf("endpoint list watch ended: %w", err)
 		}
-		reader.messageBytes = 0
-		if err := c.deliver(from, text, first); err != nil {
+		r.messageBytes = bufferedBytes(decoder)
+		if err := deliver(text); err != nil {
 			return err
 		}
 	}
 }
 
-// watchReader reads a watch and extends the connection's deadline at the end of each line.
-type watchReader struct {
-	conn           net.Conn
-	body           io.Reader
-	silenceTimeout time.Duration
-	maxBytes       int    // limit for a message
-	messageBytes   int    // read since the last message
-	onHeartbeat    func() // called for each empty line between two messages
+// bufferedBytes returns how many bytes of later messages a decoder has read.
+func bufferedBytes(decoder *json.Decoder) int {
+	buffered, _ := io.ReadAll(decoder.Buffered()) // reading from memory does not fail
+	return len(bytes.TrimSpace(buffered))
 }
 
 // Read implements io.Reader.
 func (r *watchReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	r.messageBytes += n
-	if bytes.IndexByte(p[:n], '\n') >= 0 {
-		r.conn.SetDeadline(time.Now().Add(r.silenceTimeout))
-		if r.isHeartbeat(p[:n]) {
-			r.messageBytes = 0
+	for {
+		n, err := r.body.Read(p)
+		endsLine := bytes.IndexByte(p[:n], '\n') >= 0
+		if endsLine {
+			r.conn.SetDeadline(time.Now().Add(r.silenceTimeout))
+		}
+		betweenMessages := r.messageBytes == 0 && len(bytes.TrimSpace(p[:n])) == 0
+		if !betweenMessages {
+			return r.countMessage(n, len(p), err)
+		}
+		if endsLine {
 			r.onHeartbeat()
 		}
+		if err != nil {
+			return 0, err
+		}
 	}
-	if r.messageBytes > r.maxBytes+len(p) {
+}
+
+// countMessage counts n bytes of a message that were read with an error or nil, and returns the result of the read.
+func (r *watchReader) countMessage(n, bufferBytes int, err error) (int, error) {
+	r.messageBytes += n
+	if r.messageBytes > r.maxBytes+bufferBytes {
 		return n, ErrMessageTooLong
 	}
 	return n, err
 }
-
-// isHeartbeat reports whether the bytes just read are an empty line between two messages.
-func (r *watchReader) isHeartbeat(p []byte) bool {
-	return r.messageBytes == len(p) && len(bytes.TrimSpace(p)) == 0
-}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -1,12 +1,18 @@
 package discovery
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
 	"swiftdeal/balance"
 )
 
@@ -95,3 +101,52 @@
 	}
 	return out
 }
+
+// connWithoutDeadline is a connection whose deadline is ignored.
+type connWithoutDeadline struct{ net.Conn }
+
+// SetDeadline implements net.Conn.
+func (connWithoutDeadline) SetDeadline(time.Time) error { return nil }
+
+// Guards against heartbeats without end, which filled the node's memory: what comes between two messages is not kept.
+func TestHeartbeatsWithoutEnd(t *testing.T) {
+	const heartbeats = 8 << 20
+	beats := 0
+	body := io.MultiReader(
+		strings.NewReader(`{"version":1}`+"\n"), strings.NewReader(strings.Repeat("\n", heartbeats)), strings.NewReader(`{"version":2}`+"\n"))
+	reader := &watchReader{
+		conn: connWithoutDeadline{}, body: body, silenceTimeout: time.Hour, maxBytes: 1 << 10, onHeartbeat: func() { beats++ },
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	messages := 0
+	err := reader.readMessages(func([]byte) error { messages++; return nil })
+	runtime.ReadMemStats(&after)
+	if messages != 2 || beats == 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("%d messages, %d reads of heartbeats, error %v", messages, beats, err)
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > 1<<20 {
+		t.Errorf("%d bytes allocated for %d heartbeats", allocated, heartbeats)
+	}
+}
+
+// White space inside a message is part of it, wherever the message is cut on its way and whatever has come together with the end of
+// the message before.
+func TestWhiteSpaceInsideMessages(t *testing.T) {
+	messages := []string{`{"a":"x  y", "b":1}`, "{\n  \"a\": \"  \"\n}", `{"a":" "}`}
+	text := strings.Join(messages, "\n\n \n") + "\n"
+	for first := range len(text) {
+		for second := first; second < len(text); second++ {
+			body := io.MultiReader(
+				strings.NewReader(text[:first]), strings.NewReader(text[first:second]), strings.NewReader(text[second:]))
+			reader := &watchReader{
+				conn: connWithoutDeadline{}, body: body, silenceTimeout: time.Hour, maxBytes: 1 << 10, onHeartbeat: func() {},
+			}
+			var got []string
+			err := reader.readMessages(func(message []byte) error { got = append(got, string(message)); return nil })
+			if !slices.Equal(got, messages) || !errors.Is(err, io.EOF) {
+				t.Fatalf("cut at %d and %d: %q, error %v", first, second, got, err)
+			}
+		}
+	}
+}
