Discovery: bound the messages that wait and the pace of reading, so that they cannot fill the node

Callers would see: a discovery that sends changes without end, faster than they take effect, ends the node for memory. Change: the next message of a watch is read when the last one has taken effect. Messages and white space between them are read at 500 a second for each core beyond a burst of 4,096, a message counting once more for each 4 KiB; the limiter is the one of workers' answers, now package ratelimit. Memory still grows with the workers that the list has ever named; that follows.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -52,7 +52,10 @@
 	FirstEventTimeout   time.Duration `check:"ListFirst"`   // for the first line of a watch, from the start of the call
 	WatchSilenceTimeout time.Duration `check:"ListSilence"` // a watch that receives no line for this long has failed
 	EndpointListBytes   int           `check:"ListBytes"`   // size of one line, or of a whole list
-	ReadyTimeout        time.Duration `check:"ReadyWait"`   // for an endpoint list, before clients are accepted without one
+	// Messages and heartbeats of a watch, those over 4 KiB counted for each 4 KiB.
+	ListUpdatesPerSecond int
+	ListUpdateBurst      int
+	ReadyTimeout         time.Duration `check:"ReadyWait"` // for an endpoint list, before clients are accepted without one
 
 	// Draining, counted from SIGTERM.
 	DrainAcceptPeriod    time.Duration `check:"DrainAccept"` // new client connections are accepted for this long
@@ -137,6 +140,9 @@
 	progressLineBytes  = 512     // what one line of progress counts for at the most
 )
 
+// listUpdatesPerCore is ListUpdatesPerSecond for each core.
+const listUpdatesPerCore = 500
+
 // Defaults for values that the settings do not give.
 const (
 	defaultDialTimeout       = 250 * time.Millisecond
@@ -177,6 +183,7 @@
 		FirstEventTimeout:   4 * time.Second,
 		WatchSilenceTimeout: 3 * time.Second,
 		EndpointListBytes:   1 << 20,
+		ListUpdateBurst:     4096, // a change of every worker of a large fleet
 		ReadyTimeout:        6 * time.Second,
 
 		DrainGrace:                700 * time.Millisecond,
@@ -263,6 +270,7 @@
 // maxOpenRequests is the settings' bound on open requests; 0: none.
 func (l *Limits) allocateResources(p platformLimits, maxOpenRequests int) {
 	l.Cores = int(math.Ceil(p.Cores))
+	l.ListUpdatesPerSecond = listUpdatesPerCore * l.Cores
 	l.MemoryBytes = p.MemoryMB << 20 * 3 / 4
 	usable := p.Sockets - reservedDescriptors
 	l.ClientConns = usable * clientConnsPercent / 100
--- a/internal/controlplane/replica/drainer_test.go
+++ b/internal/controlplane/replica/drainer_test.go
@@ -19,6 +19,8 @@
 	}
 }
 
+func (r *listRecorder) AwaitListEvents() {}
+
 func (r *listRecorder) takeAll() []string {
 	list := r.list
 	r.list = nil
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -12,12 +12,16 @@
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/platform"
+	"swiftdeal/internal/ratelimit"
 )
 
 // Handler receives the results of calls: messages, and at most one failure for each call, whatever its cause. It is called under
 // the client's lock and from many goroutines. It must not block or call the client.
 type Handler interface {
 	HandleListEvent(kind balance.EndpointUpdate, list config.EndpointList)
+	// AwaitListEvents returns once all events passed to HandleListEvent so far have taken effect, or never will. Unlike
+	// HandleListEvent it may block; it is called without the client's lock.
+	AwaitListEvents()
 }
 
 const (
@@ -28,9 +32,10 @@
 // Client calls discovery. It does not retry calls: the Balancer decides when to call again. Its methods may be called by any
 // goroutine, and return at once.
 type Client struct {
-	limits  config.Limits
-	dial    platform.Dial
-	handler Handler
+	limits     config.Limits
+	dial       platform.Dial
+	handler    Handler
+	updatePace *ratelimit.Limiter // of messages and heartbeats
 
 	mu           sync.Mutex
 	addr         string
@@ -46,10 +51,14 @@
 // New returns a client that starts from the given version of the endpoint list.
 func New(l config.Limits, dial platform.Dial, addr string, version int64, handler Handler) *Client {
 	c := &Client{limits: l, dial: dial, addr: addr, version: version, handler: handler}
+	c.updatePace = ratelimit.New(l.ListUpdatesPerSecond, l.ListUpdateBurst)
 	c.addressContext, c.cancelAddress = context.WithCancel(context.Background())
 	return c
 }
 
+// DelayedReads returns how often reading a watch was delayed because discovery sends more than the node reads.
+func (c *Client) DelayedReads() int64 { return c.updatePace.Delays() }
+
 // SetAddress sets the address of discovery. It ends calls to the old address and discards their results: a late message of the
 // old address must not undo an update from the new one. The version is kept, so that the next watch delivers the changes missed
 // in between. If the address is unchanged, calls continue.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -29,6 +29,9 @@
 	e <- listEvent{kind, g}
 }
 
+// AwaitListEvents implements Handler.
+func (e eventChannel) AwaitListEvents() {}
+
 // serveOnce starts a server that answers one call with raw text. It then closes the connection, or, if silent is set, keeps it
 // open without sending more. The requested path is sent to the channel.
 func serveOnce(t interface{ Cleanup(func()) }, answer string, silent bool) (addr string, requested chan string) {
@@ -62,6 +65,7 @@
 	e := make(eventChannel, 100)
 	limits := config.Limits{
 		DiscoveryTimeout: time.Minute, FirstEventTimeout: time.Minute, WatchSilenceTimeout: silence, EndpointListBytes: 1 << 10,
+		ListUpdatesPerSecond: 1000, ListUpdateBurst: 1000,
 	}
 	return New(limits, platform.Real().Dial, addr, 41, e), e
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,25 +15,41 @@
 func (c *Client) readWatch(from *call, conn net.Conn, body io.Reader) error {
 	reader := &watchReader{
 		conn: conn, body: body, silenceTimeout: c.limits.WatchSilenceTimeout, maxBytes: c.limits.EndpointListBytes,
-		onHeartbeat: func() { c.heartbeat(from) },
+		onHeartbeat: func() { c.heartbeat(from) }, pace: func() error { return c.pace(from, 0) },
 	}
 	first := true
 	return reader.readMessages(func(text []byte) error {
 		err := c.deliver(from, text, first)
 		first = false
-		return err
+		if err != nil {
+			return err
+		}
+		c.handler.AwaitListEvents() // no more than one message of a watch waits, however fast discovery sends them
+		return c.pace(from, len(text))
 	})
 }
 
+// bytesPerUpdate is the length up to which a message counts as one update.
+const bytesPerUpdate = 4 << 10
+
+// pace delays the reader of a watch after a message, or after white space between messages.
+func (c *Client) pace(from *call, messageBytes int) error {
+	if !c.updatePace.Wait(from.ctx, 1+messageBytes/bytesPerUpdate) {
+		return from.ctx.Err()
+	}
+	return nil
+}
+
 // watchReader reads a watch and extends the connection's deadline at the end of each line. White space between messages is not
 // returned: the decoder would keep it until the next message.
 type watchReader struct {
 	conn           net.Conn
 	body           io.Reader
 	silenceTimeout time.Duration
-	maxBytes       int    // limit for a message
-	messageBytes   int    // of the current message, returned so far; 0 between messages
-	onHeartbeat    func() // called for each empty line between two messages
+	maxBytes       int          // limit for a message
+	messageBytes   int          // of the current message, returned so far; 0 between messages
+	onHeartbeat    func()       // called for empty lines between two messages
+	pace           func() error // called after a read of white space between messages; an error ends the watch
 }
 
 // readMessages passes each message to deliver, until the watch ends or deliver returns an error.
@@ -71,7 +88,7 @@
 		if endsLine {
 			r.onHeartbeat()
 		}
-		if err != nil {
+		if err = cmp.Or(err, r.pace()); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -116,6 +116,7 @@
 		strings.NewReader(`{"version":1}`+"\n"), strings.NewReader(strings.Repeat("\n", heartbeats)), strings.NewReader(`{"version":2}`+"\n"))
 	reader := &watchReader{
 		conn: connWithoutDeadline{}, body: body, silenceTimeout: time.Hour, maxBytes: 1 << 10, onHeartbeat: func() { beats++ },
+		pace: func() error { return nil },
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -141,6 +142,7 @@
 				strings.NewReader(text[:first]), strings.NewReader(text[first:second]), strings.NewReader(text[second:]))
 			reader := &watchReader{
 				conn: connWithoutDeadline{}, body: body, silenceTimeout: time.Hour, maxBytes: 1 << 10, onHeartbeat: func() {},
+				pace: func() error { return nil },
 			}
 			var got []string
 			err := reader.readMessages(func(message []byte) error { got = append(got, string(message)); return nil })
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -32,6 +32,10 @@
 	})
 }
 
+// AwaitListEvents implements discovery.Handler: it returns once the Balancer has handled all updates of the list so far, or the
+// dispatcher has stopped.
+func (d *Dispatcher) AwaitListEvents() { d.runAndWait(discoverySource, func() {}) }
+
 // hasEntries reports whether an update of this kind carries entries of workers.
 func hasEntries(kind balance.EndpointUpdate) bool {
 	switch kind {
--- a/internal/testing/scale/lightnode/lightnode.go
+++ b/internal/testing/scale/lightnode/lightnode.go
@@ -123,7 +123,10 @@
 // again is how soon a watch that has failed is asked for anew.
 const again = time.Second
 
-// HandleListEvent implements upstream.Events.
+// AwaitListEvents implements discovery.Handler: events take effect at once.
+func (list) AwaitListEvents() {}
+
+// HandleListEvent implements discovery.Handler.
 func (l list) HandleListEvent(kind balance.EndpointUpdate, g config.EndpointList) {
 	n := l.node
 	n.mu.Lock()
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -64,7 +64,7 @@
 		r.exchange.end(exchangeEnd{result: resultOfStatus(resp), report: r.report})
 		return
 	}
-	r.freeLeft = r.transport.pacer.freeBytes
+	r.freeLeft = r.transport.limits.UnpacedAnswerBytes
 	lines := newLineReader(resp.Body, r.transport.limits.LineBytes)
 	defer lines.release()
 	for lines.next() {
@@ -99,7 +99,7 @@
 func (r *answerReader) pace() bool {
 	bytes := r.unpaced
 	r.unpaced = 0
-	return r.transport.pacer.wait(r.exchange.ctx, bytes)
+	return r.transport.linePace.Wait(r.exchange.ctx, bytes)
 }
 
 // handleLine processes a line and reports whether it ends the exchange.
--- a/internal/transport/recorder.go
+++ b/internal/transport/recorder.go
@@ -91,7 +91,7 @@
 }
 
 // requestDetach asks the reading goroutine to detach the connection. The channel delivers the connection, or is closed
-// if it cannot be detached. An answer that is too long is refused at once, as its reader may be delayed (answerPacer).
+// if it cannot be detached. An answer that is too long is refused at once, as its reader may be delayed (Transport.linePace).
 func (r *answerRecorder) requestDetach() <-chan *DetachedConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,6 +15,7 @@
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/invariant"
 	"swiftdeal/internal/platform"
+	"swiftdeal/internal/ratelimit"
 	"swiftdeal/internal/request"
 	"swiftdeal/internal/settings"
 )
@@ -38,7 +39,7 @@
 	limits       config.Limits
 	reportLayout settings.ReportLayout
 	pool         *pool
-	pacer        *answerPacer
+	linePace     *ratelimit.Limiter // of bytes of answers' lines, final ones apart
 	events       Events
 	healthPath   string // request path of health checks
 	monitor      *invariant.Monitor
@@ -53,8 +54,8 @@
 // New returns a transport that opens its connections with dial.
 func New(limits config.Limits, s settings.Settings, dial platform.Dial, events Events) *Transport {
 	t := &Transport{
-		limits: limits, reportLayout: s.ReportLayout, pool: newPool(limits, dial), pacer: newAnswerPacer(limits), events: events,
-		healthPath: healthPath,
+		limits: limits, reportLayout: s.ReportLayout, pool: newPool(limits, dial), events: events, healthPath: healthPath,
+		linePace: ratelimit.New(limits.AnswerBytesPerSecond, limits.UnpacedAnswerBytes),
 	}
 	if s.HasReports {
 		t.healthPath = loadReportPath
@@ -67,7 +68,7 @@
 func (t *Transport) SetMonitor(m *invariant.Monitor) { t.monitor = m }
 
 // DelayedReads returns how often reading an answer was delayed because workers send more lines than the node reads.
-func (t *Transport) DelayedReads() int64 { return t.pacer.delays.Load() }
+func (t *Transport) DelayedReads() int64 { return t.linePace.Delays() }
 
 // Close closes all connections to workers. Attempts in flight end with balance.ConnectionReset.
 func (t *Transport) Close() { t.pool.close() }
