Discovery: limit the header of an answer, which had no bound but its time

Callers would see: an answer of discovery whose header does not end fills the node's memory for up to 3 s, the time for a call. Cause: http.ReadResponse has no limit of its own. The transport to workers gives it one, the client of discovery did not. Change: the header is limited to HeaderBytes (16 KiB), as that of workers' answers. Test: discovery.TestHeaderWithoutEnd failed before (67,110,912 bytes of a header were read), now 1 KiB at the test's limit and what lies in the connection.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -33,10 +34,12 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", made.path, addr); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodGet})
+	limited := &io.LimitedReader{R: conn, N: int64(c.limits.HeaderBytes)} // bodies have limits of their own
+	resp, err := http.ReadResponse(bufio.NewReader(limited), &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return err
 	}
+	limited.N = math.MaxInt64
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{resp.Status}
 	}
--- a/internal/discovery/flood_test.go
+++ b/internal/discovery/flood_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,7 +30,7 @@
 // floodLimits are limits with a low pace of messages.
 var floodLimits = config.Limits{
 	DiscoveryTimeout: time.Minute, FirstEventTimeout: time.Minute, WatchSilenceTimeout: time.Minute, EndpointListBytes: 1 << 10,
-	ListUpdatesPerSecond: 10, ListUpdateBurst: 20,
+	HeaderBytes: 1 << 10, ListUpdatesPerSecond: 10, ListUpdateBurst: 20,
 }
 
 // watchFlood starts a watch whose answer goes on with the given text without end.
@@ -98,3 +99,38 @@
 		})
 	}
 }
+
+// Guards against a discovery whose answer has a header without end, which filled the node's memory until the call timed out.
+func TestHeaderWithoutEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	sent := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n")
+		field, total := strings.Repeat("X: y\r\n", 1<<10), 0
+		for total < 64<<20 {
+			n, err := fmt.Fprint(conn, field)
+			total += n
+			if err != nil {
+				break
+			}
+		}
+		sent <- total
+	}()
+	c, e := newClient(ln.Addr().String(), time.Minute)
+	c.Watch()
+	if got := <-e; got.kind != balance.FailedUpdate {
+		t.Errorf("%+v", got)
+	}
+	if total := <-sent; total >= 64<<20 {
+		t.Errorf("%d bytes of a header were read", total)
+	}
+}
