Balance: forget workers that have left the list, which were kept for ever

Cause: workerSet.byID keeps workers that have left the list for their reservations, and nothing removed them; likewise the capacity learned for each kind of worker. Change: as many are kept as are listed, at least 64; beyond that those that left first are forgotten, but for those with an attempt or a health check in flight. Kinds of which no worker is known go when they are the greater part. A worker that comes back later is taken for a new one. workerSet has a file of its own. Test: balance.TestRemovedWorkersAreForgotten failed before (5,001 workers and kinds after 5,000 replacements).

--- /dev/null
+++ b/balance/bounds_test.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a discovery that replaces workers without end and so fills the node's memory: of the workers that have left the list
+// a bounded number is kept, and those with an attempt or a health check in flight.
+func TestRemovedWorkersAreForgotten(t *testing.T) {
+	b, _ := newReady(t, settings(), map[string][2]float64{"w1": {8, 8}})
+	now := time.Second
+	b.Submit(now, newRequest("r", 1, 0))
+	if b.Reservations("w1") != 1 {
+		t.Fatal("no attempt is in flight")
+	}
+	previous := Worker{ID: "w1"}
+	for i := range 5000 {
+		now += time.Millisecond
+		next := Worker{ID: fmt.Sprint("n", i), Zone: "a", Kind: fmt.Sprint("k", i), Status: Ready}
+		previous.Status = Removed
+		b.UpdateEndpoints(now, DeltaUpdate, []Worker{next, previous})
+		b.HealthCheckDone(now, next.ID, OK, newReport(4, 4, uint64(i)))
+		previous = next
+	}
+	const mostKept = 2 * (minAbsentKept + 2) // twice the absent ones, the listed one and the one in use
+	if len(b.workers.byID) > mostKept || len(b.workers.maxSlotsByKind) > mostKept || len(b.workers.absent) > mostKept {
+		t.Errorf("%d workers, %d kinds, %d of them absent are kept",
+			len(b.workers.byID), len(b.workers.maxSlotsByKind), len(b.workers.absent))
+	}
+	if b.Reservations("w1") != 1 {
+		t.Error("the worker with an attempt in flight is forgotten")
+	}
+	b.AttemptDone(now, Outcome{Request: "r", Worker: "w1", Result: OK, Final: true})
+	back := Worker{ID: "w1", Zone: "a", Status: Ready}
+	b.UpdateEndpoints(now, DeltaUpdate, []Worker{back})
+	if listed, _ := b.WorkerCounts(); listed != 2 {
+		t.Errorf("%d workers are listed", listed)
+	}
+}
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -17,6 +17,7 @@
 //	settings.go   classes and settings, their validation, and reconfiguration at run time
 //	balancer.go   the Balancer, its clock and timers
 //	endpoints.go  the endpoint list, and requests to discovery for it
+//	workerset.go  the workers in the list, and those that have left it
 //	worker.go     the state of one worker
 //	request.go    open requests and their attempts
 //	admission.go  submitting a request, and its final answer
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -1,56 +1,9 @@
 package balance
 
 import (
-	"slices"
 	"time"
 )
 
-// workerSet holds all workers, and what was learned about groups of them.
-type workerSet struct {
-	byID           map[string]*worker
-	listed         []*worker          // workers in the endpoint list, in random order
-	fresh          []*worker          // workers whose reports are recent enough for placement
-	maxSlotsByKind map[string]float64 // the most free slots reported by a worker of each kind
-}
-
-func newWorkerSet() workerSet {
-	return workerSet{byID: map[string]*worker{}, maxSlotsByKind: map[string]float64{}}
-}
-
-// dropAbsent removes workers that are no longer in the endpoint list. byID keeps them for their reservations.
-func (s *workerSet) dropAbsent() {
-	s.listed = slices.DeleteFunc(s.listed, func(w *worker) bool {
-		w.listed = w.present
-		return !w.present
-	})
-}
-
-// addListed inserts a worker at a random position, so that each balancer checks workers in a different order.
-func (s *workerSet) addListed(w *worker, random *randomSource) {
-	w.listed = true
-	s.listed = append(s.listed, w)
-	last := len(s.listed) - 1
-	i := int(random.next() * float64(len(s.listed)))
-	s.listed[i], s.listed[last] = w, s.listed[i]
-}
-
-// markFresh adds a worker to the fresh ones, unless it is there already.
-func (s *workerSet) markFresh(w *worker) {
-	if !w.fresh {
-		w.fresh = true
-		s.fresh = append(s.fresh, w)
-	}
-}
-
-// dropStale removes workers from the fresh ones that are absent or have answered no health check since a
-// time.
-func (s *workerSet) dropStale(since time.Duration) {
-	s.fresh = slices.DeleteFunc(s.fresh, func(w *worker) bool {
-		w.fresh = w.health.lastHealthyAt >= since && w.present
-		return !w.fresh
-	})
-}
-
 // UpdateEndpoints handles an update of the endpoint list, or a failed call for one.
 func (b *Balancer) UpdateEndpoints(now time.Duration, kind EndpointUpdate, list []Worker) {
 	b.now = now
--- a/balance/worker.go
+++ b/balance/worker.go
@@ -12,6 +12,7 @@
 	present     bool          // in the endpoint list and not removed
 	listed      bool          // member of workerSet.listed
 	fresh       bool          // member of workerSet.fresh
+	keptAbsent  bool          // member of workerSet.absent
 	connectTime time.Duration // longest time for a new connection to its zone; 0 for the own zone
 	load        workerLoad
 	health      workerHealth
@@ -32,6 +33,11 @@
 	}
 }
 
+// inUse reports whether an attempt or a health check is in flight to a worker.
+func (w *worker) inUse() bool {
+	return len(w.load.attempts) > 0 || w.check.open
+}
+
 // restart clears the state of the worker's previous process. The learned maximum capacity and the
 // reservations stay.
 func (w *worker) restart() {
