Balance: forget attempts that have ended also where nothing may be cancelled or hedged

Callers would see: with limits.cancelling or limits.parallelTries false a node's memory grows with each request that it has ever sent, until it ends. Change: the ended ones are removed first. Test: balance.TestEndedAttemptsAreForgotten failed before (2,000 attempts kept after 2,000 requests, none in flight, in the three settings without both).

--- a/balance/bounds_test.go
+++ b/balance/bounds_test.go
@@ -39,3 +39,24 @@
 		t.Errorf("%d workers are listed", listed)
 	}
 }
+
+// Guards against attempts that are kept after their end, one for each request that a node has ever served, where the settings allow
+// neither cancelling nor hedging.
+func TestEndedAttemptsAreForgotten(t *testing.T) {
+	for _, allowed := range []struct{ cancel, hedging bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+		s := settings()
+		s.AllowCancel, s.AllowHedging = allowed.cancel, allowed.hedging
+		b, _ := newReady(t, s, map[string][2]float64{"w1": {8, 8}})
+		now := time.Second
+		for i := range 2000 {
+			now += 10 * time.Millisecond
+			id := fmt.Sprint("r", i)
+			b.Submit(now, newRequest(id, 1, 0))
+			b.AttemptDone(now, Outcome{Request: id, Worker: "w1", Result: OK, Final: true})
+			b.TimerFired(now, "")
+		}
+		if len(b.attemptsInFlight) > 2 {
+			t.Errorf("%+v: %d attempts are kept, none is in flight", allowed, len(b.attemptsInFlight))
+		}
+	}
+}
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -71,12 +71,12 @@
 // silent, or the job waits while another worker has capacity. This requires canceling, and two attempts in
 // flight until the canceled one ends.
 func (b *Balancer) replaceStalled() {
-	if !b.settings.AllowCancel || !b.settings.AllowHedging {
-		return
-	}
 	b.attemptsInFlight = slices.DeleteFunc(b.attemptsInFlight, func(a *attempt) bool {
 		return !a.inFlight || a.abandoned || a.request.finished
 	})
+	if !b.settings.AllowCancel || !b.settings.AllowHedging {
+		return
+	}
 	for _, a := range slices.Clone(b.attemptsInFlight) {
 		b.replaceIfStalled(a)
 	}
