Balance: merge old reservations where a worker sends no new report

Callers would see: where a worker sends no report, or the same one again and again, the node keeps an entry for each attempt's begin and end, and walks all of them at each decision: memory and processor time grow until the worker's report changes, or without end. Cause: workerLoad.events is shortened only by a report that differs from the last one. Change: entries older than the overload window and the longest age of a report become one, those that the last report includes are dropped. No decision counts them one by one: a later report cannot be older, and slow start counts the work of the window. Test: balance.TestReservationsAreForgotten failed before (10,000 entries after 5,000 requests, without a report and with the same one); the free slots are the same at each step.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -12,6 +12,7 @@
 	r.attempts = append(r.attempts, a)
 	b.attemptsInFlight = append(b.attemptsInFlight, a)
 	w.load.reserve(a, b.jobs.expectedWork(r))
+	w.load.compact(b.now - b.loadEventRetention())
 	b.countSlowStartViolation(w, r)
 	b.actions.SendAttempt(r.ID, w.ID)
 	if b.settings.ReportsJobStart {
--- a/balance/bounds_test.go
+++ b/balance/bounds_test.go
@@ -60,3 +60,37 @@
 		}
 	}
 }
+
+// Guards against reservations that are kept without end where a worker never sends a new report: none at all, or the same one again
+// and again. The free slots are the same as with all of them.
+func TestReservationsAreForgotten(t *testing.T) {
+	for name, report := range map[string]*LoadReport{"no report": nil, "the same report": newReport(8, 8, 1)} {
+		h := &host{}
+		b, err := New(settings(), 1, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.UpdateEndpoints(time.Second, FullUpdate, []Worker{{ID: "w1", Zone: "a", Status: Ready}})
+		b.HealthCheckDone(time.Second, "w1", OK, report)
+		w, now := b.workers.byID["w1"], time.Second
+		for i := range 5000 {
+			now += 10 * time.Millisecond
+			id := fmt.Sprint("r", i)
+			b.Submit(now, newRequest(id, 1, 1))
+			if b.Reservations("w1") != 1 {
+				t.Fatalf("%s: request %d is not sent", name, i)
+			}
+			if free := w.reportedFree(); report != nil && free != (resources{7, 7}) {
+				t.Fatalf("%s: %+v free with an attempt in flight", name, free)
+			}
+			b.AttemptDone(now, Outcome{Request: id, Worker: "w1", Result: OK, Report: report, Final: true})
+			if i%10 == 0 {
+				b.HealthCheckDone(now, "w1", OK, report)
+			}
+		}
+		within := int(2 * b.loadEventRetention() / (10 * time.Millisecond) * 2)
+		if len(w.load.events) > within+minCompactedEvents {
+			t.Errorf("%s: %d events are kept", name, len(w.load.events))
+		}
+	}
+}
--- a/balance/worker.go
+++ b/balance/worker.go
@@ -68,6 +68,7 @@
 	estimatedCapacity float64                  // concurrent attempts allowed before the first report
 	attempts          []*attempt               // this node's reservations
 	events            []LoadEvent
+	compactAt         int // number of events from which compact has an effect; 0: minCompactedEvents
 }
 
 // LoadEvent is a reservation by this node at a worker, or the release of one.
@@ -116,6 +117,41 @@
 	return work
 }
 
+// minCompactedEvents is the number of load events from which those of a worker are compacted.
+const minCompactedEvents = 64
+
+// loadEventRetention returns how long load events must be kept one by one: reports are taken to be at most
+// as old as the longest report interval, and slow start counts the work within the overload window.
+func (b *Balancer) loadEventRetention() time.Duration {
+	return max(b.settings.OverloadWindow, reportIntervalRange*b.settings.DialTimeout)
+}
+
+// compact merges the events up to a time that no later report can be older than. Without it, the events of a
+// worker that never sends a new report would be kept without end. Those that its last report includes are
+// dropped, the others become one.
+func (l *workerLoad) compact(upTo time.Duration) {
+	if len(l.events) < max(l.compactAt, minCompactedEvents) {
+		return
+	}
+	var merged LoadEvent
+	kept := l.events[:0]
+	for _, e := range l.events {
+		switch {
+		case e.Time > upTo:
+			kept = append(kept, e)
+		case l.hasReport && e.Time > l.measuredAt:
+			merged.Time = max(merged.Time, e.Time)
+			merged.Slots += e.Slots
+			merged.Memory += e.Memory
+		}
+	}
+	if merged.Time > 0 {
+		kept = slices.Insert(kept, 0, merged)
+	}
+	l.events = kept
+	l.compactAt = 2 * len(kept)
+}
+
 // forgetBefore drops events older than a time.
 func (l *workerLoad) forgetBefore(oldest time.Duration) {
 	l.events = slices.DeleteFunc(l.events, func(e LoadEvent) bool { return e.Time < oldest })
