Dispatch: bound the requests that wait for their first decision

Need: the event queue's bound was said to be the number of open requests, but a client that leaves frees its place at once, while its two events still wait: clients that come and go without end could fill the queue where decisions take long. Change: as many requests may wait in the queue as may be open; beyond that a request is refused at once (503, 'too many requests wait'). Test: dispatch.TestSubmissionsAreBounded; without the bound 1,000 requests are taken and 2,000 events wait where 10 and 20 may.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"swiftdeal/balance"
@@ -45,6 +46,8 @@
 	counts         counts
 	log            *slog.Logger
 	debugEnabled   bool          // events of each request are logged
+	unhandled      atomic.Int64  // submitted requests that wait in the queue
+	maxUnhandled   atomic.Int64  // 0: no limit
 	stopped        chan struct{} // closed when Run has ended
 	endpointsKnown chan struct{} // closed on the first endpoint list that is not empty
 
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -39,9 +39,19 @@
 	return platform.EventSource{Kind: platform.Client, ID: c.ID}
 }
 
-// Submit passes an admitted request to the Balancer for placement.
-func (d *Dispatcher) Submit(c *request.Context) {
+// SetMaxUnhandled sets how many requests may wait in the queue at once; 0: any number.
+func (d *Dispatcher) SetMaxUnhandled(requests int) { d.maxUnhandled.Store(int64(requests)) }
+
+// Submit passes an admitted request to the Balancer for placement. It returns false, and does nothing, if too many requests wait
+// in the queue: those whose clients have left wait there too, and are not among the open requests any more.
+func (d *Dispatcher) Submit(c *request.Context) (taken bool) {
+	unhandled, most := d.unhandled.Add(1), d.maxUnhandled.Load()
+	if most > 0 && unhandled > most {
+		d.unhandled.Add(-1)
+		return false
+	}
 	d.queue.enqueue(requestSource(c), func() {
+		d.unhandled.Add(-1)
 		if d.requests[c.ID] != nil { // an earlier request with this id is done, but an attempt of it is still in flight
 			c.Finish(request.Answer{Verdict: request.Malformed, Reason: "X-Request-Id: in use by an open request"})
 			return
@@ -53,6 +63,7 @@
 		d.requests[c.ID] = open
 		d.balancer.Submit(d.now(), c.Request)
 	})
+	return true
 }
 
 // ClientGone reports that a request has ended without the Balancer: its client has disconnected, or the deadline timer of
--- a/internal/dispatch/requests_test.go
+++ b/internal/dispatch/requests_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +100,29 @@
 		t.Error("no timer was started")
 	}
 }
+
+// Guards against clients that send a request, leave and come again without end while decisions take long, and so fill the queue: no
+// more requests wait for their first event than may be open. Once that was handled, others are taken.
+func TestSubmissionsAreBounded(t *testing.T) {
+	const limit = 10
+	d, _ := startDispatcher(t)
+	d.SetMaxUnhandled(limit)
+	unblock := blockDispatcher(d)
+	taken := 0
+	for i := range 1000 {
+		c := admittedRequest(fmt.Sprint("r", i))
+		if d.Submit(c) {
+			taken++
+			c.Finish(request.Answer{Verdict: request.ClientGone})
+			d.ClientGone(c)
+		}
+	}
+	if waiting := waitingEvents(d, "client"); taken != limit || waiting != 2*limit {
+		t.Errorf("%d requests taken, %d events of clients wait", taken, waiting)
+	}
+	unblock()
+	handleQueued(d)
+	if !d.Submit(admittedRequest("later")) {
+		t.Error("no request is taken afterwards")
+	}
+}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -56,7 +56,7 @@
 	l := n.limitsInForce.current()
 	n.connections.resize(l.ClientConns, l.OverflowConns)
 	n.transport.Resize(l.WorkerConns)
-	n.admission.SetCapacity(l.OpenRequests)
+	n.setOpenRequests(l.OpenRequests)
 	if n.machine.SetMemoryLimit != nil {
 		n.machine.SetMemoryLimit(l.MemoryBytes)
 	}
@@ -65,5 +65,11 @@
 // applyLimits applies the limits derived from changed settings.
 func (n *Node) applyLimits(to config.Limits) {
 	n.limitsInForce.apply(to, n.limits.ClientConns)
-	n.admission.SetCapacity(n.limitsInForce.current().OpenRequests)
+	n.setOpenRequests(n.limitsInForce.current().OpenRequests)
+}
+
+// setOpenRequests sets how many requests may be open, and how many may wait for their first decision.
+func (n *Node) setOpenRequests(requests int) {
+	n.admission.SetCapacity(requests)
+	n.dispatcher.SetMaxUnhandled(requests)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	dispatcher.SetMaxUnhandled(c.Limits.OpenRequests)
 	monitor := invariant.NewMonitor(log)
 	n := &Node{
 		config: c, limits: c.Limits, machine: machine, log: log,
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -83,7 +83,11 @@
 	if !n.admission.Admit(c) {
 		return false
 	}
-	n.dispatcher.Submit(c)
+	if !n.dispatcher.Submit(c) {
+		n.admission.Release(c)
+		c.Finish(request.Answer{Verdict: request.Rejected, Reason: "too many requests wait", RetryAfter: n.limits.RejectedRetryAfter})
+		return false
+	}
 	return true
 }
 
