Discovery: bound the endpoint list that small changes add up to

Callers would see: a discovery that adds workers without end by changes makes the list, and with it the node, grow without end; a list in one message has a limit of 1 MiB. Cause: the limit was one of messages. What they add up to is held by the transport, the Balancer, the recorder for a successor and the drainer, none of which has a bound. Change: the client of discovery counts the size of the list and leaves out new workers that would make it longer than one message may be; drains, removals and other changes of listed workers always apply, and a whole list replaces all. gw_endpoints_dropped counts.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftdeal/balance"
@@ -36,10 +37,12 @@
 	dial       platform.Dial
 	handler    Handler
 	updatePace *ratelimit.Limiter // of messages and heartbeats
+	dropped    atomic.Int64       // entries of workers for which the list had no room
 
 	mu           sync.Mutex
 	addr         string
 	version      int64     // of the last message
+	listSize     *listSize // of the list that the messages add up to
 	lastHeard    time.Time // when the last message or heartbeat was received; zero: none yet
 	currentWatch *call     // the active watch; nil: none
 	pendingWatch *call     // replaces currentWatch on its first message or heartbeat; nil: none
@@ -51,6 +54,7 @@
 // New returns a client that starts from the given version of the endpoint list.
 func New(l config.Limits, dial platform.Dial, addr string, version int64, handler Handler) *Client {
 	c := &Client{limits: l, dial: dial, addr: addr, version: version, handler: handler}
+	c.listSize = newListSize(l.EndpointListBytes)
 	c.updatePace = ratelimit.New(l.ListUpdatesPerSecond, l.ListUpdateBurst)
 	c.addressContext, c.cancelAddress = context.WithCancel(context.Background())
 	return c
@@ -59,6 +63,9 @@
 // DelayedReads returns how often reading a watch was delayed because discovery sends more than the node reads.
 func (c *Client) DelayedReads() int64 { return c.updatePace.Delays() }
 
+// DroppedEndpoints returns how many entries were left out because the list had no room for their workers.
+func (c *Client) DroppedEndpoints() int64 { return c.dropped.Load() }
+
 // SetAddress sets the address of discovery. It ends calls to the old address and discards their results: a late message of the
 // old address must not undo an update from the new one. The version is kept, so that the next watch delivers the changes missed
 // in between. If the address is unchanged, calls continue.
@@ -166,6 +173,8 @@
 	if !c.lastHeard.IsZero() {
 		list.SilentFor = time.Since(c.lastHeard)
 	}
+	list, dropped := c.listSize.apply(list)
+	c.dropped.Add(int64(dropped))
 	c.version, c.lastHeard = list.Version, time.Now()
 	c.handler.HandleListEvent(kind, list)
 	return nil
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -55,6 +55,8 @@
 			n.transport.DelayedReads()),
 		control.Scalar("gw_discovery_reads_delayed", "Times that discovery, sending more than the node reads, had to wait.", false,
 			n.discovery.DelayedReads()),
+		control.Scalar("gw_endpoints_dropped", "Entries of workers left out because the endpoint list would be too long.", false,
+			n.discovery.DroppedEndpoints()),
 	}
 }
 
