Transport: look for expired entries of workers out of service once a second at most

Need: each update of the endpoint list walked all workers that had left service within a minute; with a worker replaced by each of 500 messages a second these are 30,000. Change: an update drops the entries of the workers that it brings back; expired ones are looked for once a second at most. The tests of what was out of service hold.

--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -1,20 +1,25 @@
 package transport
 
 import (
+	"maps"
 	"time"
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 )
 
-// outOfServiceRetention is how long the time at which a worker left service is kept at least. Expired
-// entries are dropped by the next update.
-const outOfServiceRetention = time.Minute
+// outOfServiceRetention is how long the time at which a worker left service is kept at least. Expired entries are dropped
+// by an update, at most one in outOfServiceSweep: each looks at all entries.
+const (
+	outOfServiceRetention = time.Minute
+	outOfServiceSweep     = time.Second
+)
 
 // workerDirectory holds the workers of the endpoint list. It is guarded by the pool's lock.
 type workerDirectory struct {
 	endpoints    map[string]config.Endpoint // by worker id
 	outOfService map[string]time.Time       // when each worker left service, by worker id
+	sweptAt      time.Time                  // when expired entries of outOfService were last dropped
 }
 
 func newWorkerDirectory() workerDirectory {
@@ -34,7 +39,7 @@
 			d.endpoints[endpoint.ID] = endpoint
 		}
 	}
-	d.recordOutOfService(wereInService, now)
+	d.recordOutOfService(wereInService, list.Endpoints, now)
 }
 
 // inServiceBefore returns the ids of the workers in service that an update may change.
@@ -55,19 +60,24 @@
 	return ids
 }
 
-// recordOutOfService records which of the workers that were in service no longer are, and drops entries that are
-// expired or whose worker is in service again.
-func (d *workerDirectory) recordOutOfService(wereInService []string, now time.Time) {
+// recordOutOfService records which of the workers that were in service no longer are, and drops the entries of those that
+// a change brings back, and expired ones.
+func (d *workerDirectory) recordOutOfService(wereInService []string, changed []config.Endpoint, now time.Time) {
 	for _, id := range wereInService {
 		if !d.isInService(id) {
 			d.outOfService[id] = now
 		}
 	}
-	for id, since := range d.outOfService {
-		if d.isInService(id) || now.Sub(since) > outOfServiceRetention {
-			delete(d.outOfService, id)
+	for _, endpoint := range changed {
+		if d.isInService(endpoint.ID) {
+			delete(d.outOfService, endpoint.ID)
 		}
 	}
+	if now.Sub(d.sweptAt) < outOfServiceSweep {
+		return
+	}
+	d.sweptAt = now
+	maps.DeleteFunc(d.outOfService, func(_ string, since time.Time) bool { return now.Sub(since) > outOfServiceRetention })
 }
 
 // isInService reports whether a worker accepts new jobs.
