Transport: bound the memory of answers with long lines

Callers would see: workers whose answers each hold one line of some 500 KB, or one that never ends, end the node for memory. Cause: a line may have 512 KiB, and each open request may be reading one; places for open requests are reckoned at 128 KiB each. Buffers grown to 512 KiB also went back to a pool. A result keeps its place until it has been delivered (request.Context.Release); a line that does not end within 5 s, and a long one that is not the final line, end the attempt as a broken connection. Large buffers are not pooled. Readers of answers are types now, not closures. A planted fault follows the line that it changes.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -42,6 +42,8 @@
 	WorkerIdleTimeout  time.Duration `check:"ConnIdle"`  // a connection idle for this long is closed
 	ResponseEndTimeout time.Duration `check:"TailWait"`  // for the end of an answer's body after its last line
 	LineBytes          int           // size of one line of an answer
+	LongLines          int           // answers that may hold a line above 64 KiB in memory at once
+	LongLineTimeout    time.Duration // for the rest of a line above 64 KiB
 	ReportBytes        int64         // size of a load report
 	// Lines of an answer before the final one: progress, or none at all.
 	UnpacedAnswerBytes   int // of each answer, read without a delay; above ReplayableResponseBytes
@@ -134,6 +136,9 @@
 	overflowConnsPercent = 5
 )
 
+// longLineCopies is how often the text of a long line is in memory at the most.
+const longLineCopies = 4
+
 // Sizes of AnswerBytesPerSecond; see setAnswerPace.
 const (
 	answerBytesPerCore = 1 << 20 // a second
@@ -176,6 +181,7 @@
 		HealthCheckTimeout: 200 * time.Millisecond,
 		ResponseEndTimeout: time.Second,
 		LineBytes:          512 << 10,
+		LongLineTimeout:    5 * time.Second,
 		UnpacedAnswerBytes: 16 << 10,
 		ReportBytes:        4 << 10,
 
@@ -279,6 +285,8 @@
 	// Each request is counted as 2*BodyBytes, for its body and its result, although a result may be larger (up to LineBytes).
 	// All requests together may take a third of the memory.
 	l.OpenRequests = min(l.ClientConns, int(l.MemoryBytes/3/(2*l.BodyBytes)))
+	// A long line takes up to four times its size: the buffers that it has grown through, its result, and the answer to the client.
+	l.LongLines = max(1, int(l.MemoryBytes/3/int64(longLineCopies*l.LineBytes)))
 	if maxOpenRequests > 0 {
 		l.OpenRequests = min(l.OpenRequests, maxOpenRequests)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -53,6 +53,8 @@
 			n.dispatcher.ProgressMerged()),
 		control.Scalar("gw_answer_reads_delayed", "Times that a worker's answer, sending more lines than the node reads, had to wait.", false,
 			n.transport.DelayedReads()),
+		control.Scalar("gw_long_answers_delayed", "Answers above 64 KiB that waited for the memory that such answers may take.", false,
+			n.transport.DelayedLongLines()),
 		control.Scalar("gw_discovery_reads_delayed", "Times that discovery, sending more than the node reads, had to wait.", false,
 			n.discovery.DelayedReads()),
 		control.Scalar("gw_endpoints_dropped", "Entries of workers left out because the endpoint list would be too long.", false,
--- a/internal/node/migration.go
+++ b/internal/node/migration.go
@@ -238,7 +238,7 @@
 		Context: c, migrated: client, disconnected: client.disconnected, admitted: admitted, closeAfterAnswer: closeAfterAnswer,
 	}
 	if !n.awaitAnswer(&open) {
-		n.accounting.RequestDone(c, true) // migrated on to the next process
+		n.requestDone(c, true) // migrated on to the next process
 		return
 	}
 	if admitted {
@@ -252,7 +252,7 @@
 		written = n.responder.Write(w, answer, closeAfterAnswer) == nil
 		n.checkAnswerTime(c, admitted && written)
 	}
-	n.accounting.RequestDone(c, written)
+	n.requestDone(c, written)
 	if written && !closeAfterAnswer {
 		client.SetDeadline(time.Time{})
 		n.handover.listener.inject(client.Conn)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -47,14 +47,14 @@
 		closeAfterAnswer: overflow || r.ContentLength < 0 || r.Close || !r.ProtoAtLeast(1, 1),
 	}
 	if !n.awaitAnswer(&open) {
-		n.accounting.RequestDone(c, true)
+		n.requestDone(c, true)
 		return
 	}
 	if open.admitted {
 		n.admission.Release(c)
 	}
 	written := false
-	defer func() { n.accounting.RequestDone(c, written) }() // also when the responder panics to abort the connection
+	defer func() { n.requestDone(c, written) }() // also when the responder panics to abort the connection
 	answer := c.Answer()
 	// The connection of a client that violates the protocol is closed. The server then neither waits for the rest of the
 	// body before it sends the response, nor parses what follows, which may not be a request.
@@ -63,6 +63,13 @@
 	n.checkAnswerTime(c, open.admitted && written)
 }
 
+// requestDone counts a request that has ended, and releases what its answer holds. delivered tells whether the client received the
+// answer.
+func (n *Node) requestDone(c *request.Context, delivered bool) {
+	n.accounting.RequestDone(c, delivered)
+	c.Release()
+}
+
 // admit passes a request to the dispatcher and reports whether it did. Otherwise the request has been answered.
 func (n *Node) admit(c *request.Context, overflow bool) bool {
 	_, drainedFor := n.drainState.draining()
--- a/internal/request/context.go
+++ b/internal/request/context.go
@@ -38,6 +38,10 @@
 	done       chan struct{}
 	finishedAt time.Time
 	answer     Answer
+
+	releaseMu sync.Mutex
+	released  bool     // guarded by releaseMu, as is onRelease
+	onRelease []func() // called by Release
 }
 
 // New returns an empty request context whose arrival time is now.
@@ -52,6 +56,31 @@
 	return first
 }
 
+// OnRelease registers a function that Release calls. If it has been called already, the function is called at once.
+func (c *Context) OnRelease(release func()) {
+	c.releaseMu.Lock()
+	released := c.released
+	if !released {
+		c.onRelease = append(c.onRelease, release)
+	}
+	c.releaseMu.Unlock()
+	if released {
+		release()
+	}
+}
+
+// Release tells that the answer has been delivered, or never will be, and that its memory is not needed any more. It is called
+// when the request has ended.
+func (c *Context) Release() {
+	c.releaseMu.Lock()
+	functions := c.onRelease
+	c.released, c.onRelease = true, nil
+	c.releaseMu.Unlock()
+	for _, release := range functions {
+		release()
+	}
+}
+
 // Done returns a channel that is closed once the final answer is set.
 func (c *Context) Done() <-chan struct{} { return c.done }
 
--- a/internal/testing/simulation/mutants/mutants.go
+++ b/internal/testing/simulation/mutants/mutants.go
@@ -179,7 +179,7 @@
 		{evicting, "if s.state == http.StateActive {\n			continue", "if s.state == http.StateClosed {\n			continue"}}},
 	{
 		"foreign-answer-served", "rule 1, results that no peer made",
-		[]Change{{answers, "json.Unmarshal(text, &line) != nil || line.ID != r.id", "json.Unmarshal(text, &line) != nil"}},
+		[]Change{{answers, "json.Unmarshal(text, &line) != nil || line.ID != r.request.ID", "json.Unmarshal(text, &line) != nil"}},
 	},
 	{"empty-answer-to-one-who-left", "rule 1, a client that gives up as its answer arrives", []Change{
 		{"internal/response/writer.go", "		panic(http.ErrAbortHandler)\n", "		answer.Verdict = request.Served\n"}}},
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/request"
 )
 
 // answerLine is one line of a worker's answer.
@@ -37,14 +38,16 @@
 type answerReader struct {
 	transport *Transport
 	exchange  *exchange
-	id        string
+	request   *request.Context
 	attempt   int
+	lines     lineReader
 
 	report   *balance.LoadReport // the last one of the answer; nil: none
 	started  bool                // the start of the job has been passed on
 	progress progress            // read and not passed on yet
-	freeLeft int                 // bytes of lines that may still be read without a delay
-	unpaced  int                 // bytes of lines read beyond that since the last delay
+	long     longLine
+	freeLeft int // bytes of lines that may still be read without a delay
+	unpaced  int // bytes of lines read beyond that since the last delay
 }
 
 // progress is the progress of an attempt as a line of its answer reports it.
@@ -65,14 +68,19 @@
 		return
 	}
 	r.freeLeft = r.transport.limits.UnpacedAnswerBytes
-	lines := newLineReader(resp.Body, r.transport.limits.LineBytes)
-	defer lines.release()
-	for lines.next() {
-		if last := r.handleLine(lines.line); last {
+	r.lines = newLineReader(resp.Body, r.transport.limits.LineBytes, r)
+	defer r.dropLongLine()
+	defer r.lines.release()
+	for r.lines.next() {
+		if last := r.handleLine(r.lines.line); last {
 			return
 		}
-		r.count(len(lines.line) + 1)
-		if lines.hasNext() {
+		if r.long.held { // only a final line may be long
+			r.exchange.abort(balance.ConnectionReset)
+			return
+		}
+		r.count(len(r.lines.line) + 1)
+		if r.lines.hasNext() {
 			continue
 		}
 		// Only the last progress is passed on of what was received at once.
@@ -109,7 +117,7 @@
 	}
 	var line answerLine
 	// An answer to another request must never be served.
-	if json.Unmarshal(text, &line) != nil || line.ID != r.id {
+	if json.Unmarshal(text, &line) != nil || line.ID != r.request.ID {
 		r.exchange.abort(balance.ConnectionReset)
 		return true
 	}
@@ -143,7 +151,7 @@
 	if !r.progress.known {
 		return
 	}
-	r.transport.events.AttemptProgress(r.id, r.attempt, r.progress.kind, r.progress.share)
+	r.transport.events.AttemptProgress(r.request.ID, r.attempt, r.progress.kind, r.progress.share)
 	r.progress = progress{}
 }
 
@@ -157,6 +165,7 @@
 			return true
 		}
 		end.result, end.text = balance.OK, *line.Result
+		r.keepLongLine()
 	case stateFailed:
 		end.result = balance.WorkerError
 	case stateReturned:
--- a/internal/transport/answerpace_test.go
+++ b/internal/transport/answerpace_test.go
@@ -110,7 +110,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		limits := config.Limits{
 			HeaderBytes: 1 << 10, WorkerConns: 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute,
-			LineBytes: 512 << 10, UnpacedAnswerBytes: 1 << 10, AnswerBytesPerSecond: 1 << 10,
+			LineBytes: 512 << 10, LongLineTimeout: time.Second, UnpacedAnswerBytes: 1 << 10, AnswerBytesPerSecond: 1 << 10,
 		}
 		transport, events, pipes := newPipedTransport(t, limits)
 		defer transport.Close()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return false
 	}
-	x.readAnswer(resp)
+	x.answer.read(resp)
 	if c.recorder.isDetached() {
 		return false
 	}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -20,10 +20,10 @@
 	worker        string
 	name          string // request id or purpose, passed to the dialer for traces
 	method        string
-	writeDeadline time.Time            // the last byte must be written by then; zero: only the deadline applies
-	check         *sendCheck           // run right before the first byte; nil for health checks and resumed attempts
-	readAnswer    func(*http.Response) // reads the answer and calls end
-	onEnd         func(exchangeEnd)    // called exactly once, or never if the connection is detached
+	writeDeadline time.Time         // the last byte must be written by then; zero: only the deadline applies
+	check         *sendCheck        // run right before the first byte; nil for health checks and resumed attempts
+	answer        answerHandler     // reads the answer
+	onEnd         func(exchangeEnd) // called exactly once, or never if the connection is detached
 
 	startedAt time.Time
 	ctx       context.Context // ends with the exchange
@@ -38,6 +38,12 @@
 	state exchangeState // guarded by mu
 }
 
+// answerHandler reads the answer of an exchange.
+type answerHandler interface {
+	// read reads an answer, and calls the exchange's end or abort.
+	read(*http.Response)
+}
+
 // exchangeState is the progress of an exchange.
 type exchangeState struct {
 	conn       *conn
--- a/internal/transport/healthcheck.go
+++ b/internal/transport/healthcheck.go
@@ -18,7 +18,7 @@
 // Events.HealthCheckDone.
 func (t *Transport) CheckHealth(worker string) {
 	x := &exchange{worker: worker, name: healthCheckPurpose, method: http.MethodGet}
-	x.readAnswer = func(resp *http.Response) { t.readHealthAnswer(x, resp) }
+	x.answer = &healthAnswerReader{t, x}
 	x.onEnd = func(end exchangeEnd) { t.events.HealthCheckDone(worker, end.result, end.report) }
 	ctx := x.startClock(time.Now().Add(t.limits.HealthCheckTimeout))
 	reserved := t.pool.reserve(x)
@@ -34,9 +34,15 @@
 	x.send(conn, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", t.healthPath, x.worker), nil)
 }
 
-// readHealthAnswer reads the answer to a health check and ends the exchange. A load report in the body takes precedence
-// over one in the header.
-func (t *Transport) readHealthAnswer(x *exchange, resp *http.Response) {
+// healthAnswerReader reads the answer to a health check.
+type healthAnswerReader struct {
+	transport *Transport
+	exchange  *exchange
+}
+
+// read implements answerHandler. A load report in the body takes precedence over one in the header.
+func (r *healthAnswerReader) read(resp *http.Response) {
+	t, x := r.transport, r.exchange
 	body, err := io.ReadAll(io.LimitReader(resp.Body, t.limits.ReportBytes+1))
 	if err != nil || int64(len(body)) > t.limits.ReportBytes {
 		x.abort(balance.ConnectionReset)
--- a/internal/transport/linereader.go
+++ b/internal/transport/linereader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"sync"
 )
@@ -16,8 +17,22 @@
 	end      int
 	line     []byte // the current line without its newline; valid until the next call of next
 	err      error
+
+	admission longLineAdmission
+}
+
+// longLineAdmission decides about lines longer than shortLineBytes.
+type longLineAdmission interface {
+	// admitLongLine is called before such a line is read on, and returns false if it must not be. It may block.
+	admitLongLine() bool
 }
 
+// shortLineBytes is the length up to which a line needs no admission, and a buffer is pooled.
+const shortLineBytes = 64 << 10
+
+// errLongLineNotAdmitted reports that a long line must not be read on.
+var errLongLineNotAdmitted = errors.New("long line not admitted")
+
 // initialLineBytes is the initial size of a pooled buffer; most lines fit in it.
 const initialLineBytes = 2 << 10
 
@@ -27,13 +42,15 @@
 }}
 
 // newLineReader returns a reader of lines shorter than maxBytes. The caller must release it.
-func newLineReader(source io.Reader, maxBytes int) *lineReader {
-	return &lineReader{source: source, maxBytes: maxBytes, buffer: lineBuffers.Get().(*[]byte)}
+func newLineReader(source io.Reader, maxBytes int, admission longLineAdmission) lineReader {
+	return lineReader{source: source, maxBytes: maxBytes, buffer: lineBuffers.Get().(*[]byte), admission: admission}
 }
 
-// release returns the buffer to its pool.
+// release returns the buffer to its pool, unless it is large.
 func (l *lineReader) release() {
-	lineBuffers.Put(l.buffer)
+	if len(*l.buffer) <= shortLineBytes {
+		lineBuffers.Put(l.buffer)
+	}
 	l.buffer = nil
 	l.line = nil
 }
@@ -58,7 +75,10 @@
 			l.err = io.ErrShortBuffer
 			return false
 		}
-		l.makeRoom()
+		if !l.makeRoom() {
+			l.err = errLongLineNotAdmitted
+			return false
+		}
 		searched = l.end
 		l.fill()
 	}
@@ -70,18 +90,23 @@
 }
 
 // makeRoom makes room for a read if the buffer is full: it moves the unread bytes to the start, or enlarges the buffer
-// if they already start there.
-func (l *lineReader) makeRoom() {
+// if they already start there. It returns false if a long line is not admitted.
+func (l *lineReader) makeRoom() bool {
 	buffer := *l.buffer
 	if l.start > 0 && l.end == len(buffer) {
 		l.end = copy(buffer, buffer[l.start:l.end])
 		l.start = 0
 	}
 	if l.end == len(buffer) {
-		grown := make([]byte, min(2*len(buffer), l.maxBytes))
+		size := min(2*len(buffer), l.maxBytes)
+		if len(buffer) <= shortLineBytes && size > shortLineBytes && !l.admission.admitLongLine() {
+			return false
+		}
+		grown := make([]byte, size)
 		copy(grown, buffer)
 		*l.buffer = grown
 	}
+	return true
 }
 
 // fill does one read into the buffer.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"swiftdeal/balance"
@@ -39,6 +38,7 @@
 	limits       config.Limits
 	reportLayout settings.ReportLayout
 	pool         *pool
+	longLines    *longLines
 	linePace     *ratelimit.Limiter // of bytes of answers' lines, final ones apart
 	events       Events
 	healthPath   string // request path of health checks
@@ -55,7 +55,8 @@
 func New(limits config.Limits, s settings.Settings, dial platform.Dial, events Events) *Transport {
 	t := &Transport{
 		limits: limits, reportLayout: s.ReportLayout, pool: newPool(limits, dial), events: events, healthPath: healthPath,
-		linePace: ratelimit.New(limits.AnswerBytesPerSecond, limits.UnpacedAnswerBytes),
+		longLines: newLongLines(limits.LongLines),
+		linePace:  ratelimit.New(limits.AnswerBytesPerSecond, limits.UnpacedAnswerBytes),
 	}
 	if s.HasReports {
 		t.healthPath = loadReportPath
@@ -70,6 +71,9 @@
 // DelayedReads returns how often reading an answer was delayed because workers send more lines than the node reads.
 func (t *Transport) DelayedReads() int64 { return t.linePace.Delays() }
 
+// DelayedLongLines returns how often an answer with a long line had to wait because the memory for such lines was in use.
+func (t *Transport) DelayedLongLines() int64 { return t.longLines.delays.Load() }
+
 // Close closes all connections to workers. Attempts in flight end with balance.ConnectionReset.
 func (t *Transport) Close() { t.pool.close() }
 
@@ -97,10 +101,7 @@
 // newAttempt returns the exchange of an attempt and registers it with the pool.
 func (t *Transport) newAttempt(c *request.Context, attempt int, worker string) *exchange {
 	x := &exchange{worker: worker, name: c.ID, method: c.Method}
-	x.readAnswer = func(resp *http.Response) {
-		reader := answerReader{transport: t, exchange: x, id: c.ID, attempt: attempt}
-		reader.read(resp)
-	}
+	x.answer = &answerReader{transport: t, exchange: x, request: c, attempt: attempt}
 	x.onEnd = func(end exchangeEnd) {
 		t.pool.forgetAttempt(x)
 		c.Attempts.End(attempt, neverRan(end.result))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -387,7 +387,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		want := rapid.SliceOfN(rapid.StringMatching(`[a-z]{0,90}`), 1, 9).Draw(t, "lines")
 		most := rapid.IntRange(1, 120).Draw(t, "most")
-		in := newLineReader(iotest.OneByteReader(strings.NewReader(strings.Join(want, "\n")+"\n")), most)
+		in := newLineReader(iotest.OneByteReader(strings.NewReader(strings.Join(want, "\n")+"\n")), most, nil)
 		if rapid.Bool().Draw(t, "at once") {
 			in.source = strings.NewReader(strings.Join(want, "\n") + "\n")
 		}
