Wording: names for constants of load reports, and fields and names that nothing used

Change: the steps of the report interval and the refund of the retry budget have names; two fields and a constant of the rigs that were never read or set are gone.

--- a/balance/report.go
+++ b/balance/report.go
@@ -9,6 +9,13 @@
 // by it.
 const reportIntervalRange = 8
 
+// The report interval after an unchanged and after a renewed report, as a percentage of the interval before.
+// The steps of +9 % and -3 % balance when three in four reports are new.
+const (
+	unchangedIntervalPercent = 109
+	renewedIntervalPercent   = 97
+)
+
 // Repeats agree on a lag if it differs by at most lagTolerance report intervals; reports are ignored once
 // lagConfirmations repeats in a row agree.
 const (
@@ -38,13 +45,13 @@
 // recordUnchanged lengthens the interval after a report that is identical to the worker's last one, whether
 // it came with a health check or with an attempt's outcome.
 func (h *reportHistory) recordUnchanged(dialTimeout time.Duration) {
-	h.interval = min(h.interval*109/100, reportIntervalRange*dialTimeout)
+	h.interval = min(h.interval*unchangedIntervalPercent/100, reportIntervalRange*dialTimeout)
 }
 
 // recordRenewed shortens the interval after a report that differs from the worker's last one, whichever way
-// it came. The steps of +9 % and -3 % balance when three in four reports are new.
+// it came.
 func (h *reportHistory) recordRenewed(dialTimeout time.Duration) {
-	h.interval = max(h.interval*97/100, dialTimeout/reportIntervalRange)
+	h.interval = max(h.interval*renewedIntervalPercent/100, dialTimeout/reportIntervalRange)
 }
 
 // recordRepeat records that a report is identical to an earlier one of the worker, which first arrived the
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -20,6 +20,9 @@
 	minRunTimeSeconds = 1e-3 // lower limit of the run time in that ratio
 )
 
+// halfRefundQueue is the average queue length at which half of a token is refunded.
+const halfRefundQueue = 2
+
 // retryBudget holds the tokens of the retry budget. A token pays for one replacement.
 type retryBudget struct {
 	tokens float64
@@ -46,7 +49,7 @@
 // length of 2): if queues stay long despite replacements, canceled jobs continue to run or all workers are
 // full.
 func (t *retryBudget) refund(averageQueue float64) {
-	t.tokens = min(t.tokens+(1+retryBudgetShare)/(1+averageQueue/2), retryBudgetMax)
+	t.tokens = min(t.tokens+(1+retryBudgetShare)/(1+averageQueue/halfRefundQueue), retryBudgetMax)
 }
 
 // retryOrFinish queues a request for another attempt if that is allowed, and otherwise rejects or fails it.
--- a/internal/testing/fake/clients.go
+++ b/internal/testing/fake/clients.go
@@ -133,7 +133,6 @@
 	submission  *submission
 	closed      bool
 	answered    bool // at least one answer was received on it
-	resent      bool
 	observed    bool
 	pipelinedID string // id of a second request sent together with the first
 }
@@ -435,7 +434,7 @@
 		k.clients.Observer.ClientGone(k.node, k.pipelinedID)
 	}
 	k.submission = nil
-	if k.observed && k.answered && !k.resent && len(k.inbox) == 0 && !k.requestRead() {
+	if k.observed && k.answered && len(k.inbox) == 0 && !k.requestRead() {
 		// The node closed a kept connection before it read the request, so the request is sent again.
 		k.clients.Observer.RequestEnded(k.node, a.id, ClosedWhileSending, "")
 		a.sendAttempt(true)
--- a/internal/testing/soak/planted.go
+++ b/internal/testing/soak/planted.go
@@ -26,7 +26,6 @@
 	balanceAttempts  = "balance/attempt.go"
 	balancePlacement = "balance/placement.go"
 	slowStartFile    = "balance/slowstart.go"
-	exchangeFile     = "internal/transport/exchange.go"
 )
 
 // usualLoad returns a plan with ordinary load and the given faults.
--- a/internal/testing/soak/process.go
+++ b/internal/testing/soak/process.go
@@ -13,7 +13,6 @@
 	*subprocess.Process
 	name          string
 	stopRequested bool // a signal to end was sent; guarded by the cluster's mu
-	traced        bool // strace is attached, to make system calls fail
 }
 
 // keptLines is the minimum number of log lines kept of a process.
@@ -21,7 +20,7 @@
 
 // launch starts a process. rule is strace's rule for failing system calls; empty: none fail.
 func (f *Cluster) launch(name, rule string, env []string) (*process, error) {
-	p := &process{name: name, traced: rule != ""}
+	p := &process{name: name}
 	serve := []string{f.options.Bin, "serve", "--log-level", "debug", "--log-form", "json"}
 	command := serve
 	if rule != "" {
