Transport: halve the places of long lines while two processes share the memory

Change: shareLimits sets them as it sets connections and open requests; places in use stay until they are free (golang.org/x/sync/semaphore). Test: transport.TestLongLinesAreHalved.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -113,6 +113,7 @@
 	l.ClientConns = max(l.ClientConns/2, 1)
 	l.OverflowConns = max(l.OverflowConns/2, 1)
 	l.WorkerConns = max(l.WorkerConns/2, 1)
+	l.LongLines = max(l.LongLines/2, 1)
 	l.OpenRequests = max(l.OpenRequests/2, 1)
 	return l
 }
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -56,6 +56,7 @@
 	l := n.limitsInForce.current()
 	n.connections.resize(l.ClientConns, l.OverflowConns)
 	n.transport.Resize(l.WorkerConns)
+	n.transport.SetLongLines(l.LongLines)
 	n.setOpenRequests(l.OpenRequests)
 	if n.machine.SetMemoryLimit != nil {
 		n.machine.SetMemoryLimit(l.MemoryBytes)
--- a/internal/transport/longlines.go
+++ b/internal/transport/longlines.go
@@ -2,47 +2,83 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"swiftdeal/balance"
 )
 
 // longLines limits how many answers at once hold a line longer than shortLineBytes in memory, from when it is read until its
 // result has been delivered. It is safe for concurrent use.
 type longLines struct {
-	slots  chan struct{} // holds a value for each slot taken
-	delays atomic.Int64  // how often an answer had to wait for a slot
+	places int                 // without a resize
+	free   *semaphore.Weighted // of places
+	delays atomic.Int64        // how often an answer had to wait for a place
+
+	mu     sync.Mutex
+	resume func() // undoes the last resize; nil: none
 }
 
-func newLongLines(slots int) *longLines { return &longLines{slots: make(chan struct{}, max(slots, 1))} }
+func newLongLines(places int) *longLines {
+	places = max(places, 1)
+	return &longLines{places: places, free: semaphore.NewWeighted(int64(places))}
+}
 
-// acquire takes a slot, and waits until one is free. It returns false if ctx ends first.
+// acquire takes a place, and waits until one is free. It returns false if ctx ends first.
 func (l *longLines) acquire(ctx context.Context) bool {
-	select {
-	case l.slots <- struct{}{}:
+	if l.free.TryAcquire(1) {
 		return true
-	default:
 	}
 	l.delays.Add(1)
-	select {
-	case l.slots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
+	return l.free.Acquire(ctx, 1) == nil
+}
+
+// release frees a place.
+func (l *longLines) release() { l.free.Release(1) }
+
+// resize sets the number of places, at most those that there were at first. Places in use above it are not taken away.
+func (l *longLines) resize(places int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.resume != nil {
+		l.resume()
+		l.resume = nil
+	}
+	if withheld := l.places - max(places, 1); withheld > 0 {
+		l.resume = l.withhold(int64(withheld))
 	}
 }
 
-// release frees a slot.
-func (l *longLines) release() { <-l.slots }
+// close ends what resize has started.
+func (l *longLines) close() { l.resize(l.places) }
+
+// withhold takes places as they become free, until resume is called.
+func (l *longLines) withhold(places int64) (resume func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if l.free.Acquire(ctx, places) == nil {
+			<-ctx.Done()
+			l.free.Release(places)
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
 
-// longLine is an answer's slot for a long line.
+// longLine is an answer's place for a long line.
 type longLine struct {
 	held    bool
-	timeout *time.Timer // aborts an answer that keeps its slot for too long without the end of the line
+	timeout *time.Timer // aborts an answer that keeps its place for too long without the end of the line
 }
 
-// admitLongLine implements longLineAdmission: it waits for a slot and then gives the rest of the line LongLineTimeout.
+// admitLongLine implements longLineAdmission: it waits for a place and then gives the rest of the line LongLineTimeout.
 func (r *answerReader) admitLongLine() bool {
 	if !r.transport.longLines.acquire(r.exchange.ctx) {
 		return false
@@ -52,7 +88,7 @@
 	return true
 }
 
-// keepLongLine keeps the slot, if there is one, until the request's answer has been delivered: it holds the line's result.
+// keepLongLine keeps the place, if there is one, until the request's answer has been delivered: it holds the line's result.
 func (r *answerReader) keepLongLine() {
 	if r.long.held {
 		r.long.timeout.Stop()
@@ -61,7 +97,7 @@
 	}
 }
 
-// dropLongLine frees the slot, if there is one.
+// dropLongLine frees the place, if there is one.
 func (r *answerReader) dropLongLine() {
 	if r.long.held {
 		r.long.timeout.Stop()
--- a/internal/transport/longlines_test.go
+++ b/internal/transport/longlines_test.go
@@ -112,7 +112,7 @@
 			t.Errorf("%s ended second, as %v", end.Request, end.Result)
 		}
 		jobs[1].Release()
-		if transport.longLines.acquire(t.Context()); len(transport.longLines.slots) != 1 {
+		if !transport.longLines.free.TryAcquire(1) {
 			t.Error("a place is still taken")
 		}
 	})
@@ -129,8 +129,41 @@
 			t.Errorf("ended as %v", end.Result)
 		}
 		synctest.Wait()
-		if len(transport.longLines.slots) != 0 {
+		if !transport.longLines.free.TryAcquire(1) {
 			t.Error("its place is still taken")
 		}
 	})
 }
+
+// While two processes share a node's memory each has half of the places, once those in use are free.
+func TestLongLinesAreHalved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		places := newLongLines(4)
+		free := func() (n int) {
+			synctest.Wait()
+			for places.free.TryAcquire(1) {
+				n++
+			}
+			for range n {
+				places.release()
+			}
+			return n
+		}
+		for range 3 {
+			places.acquire(t.Context())
+		}
+		places.resize(2)
+		if n := free(); n != 0 {
+			t.Errorf("%d of 2 places are free while 3 are in use", n)
+		}
+		places.release()
+		places.release()
+		if n := free(); n != 1 {
+			t.Errorf("%d of 2 places are free while 1 is in use", n)
+		}
+		places.resize(4)
+		if n := free(); n != 3 {
+			t.Errorf("%d of 4 places are free while 1 is in use", n)
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -75,12 +75,19 @@
 func (t *Transport) DelayedLongLines() int64 { return t.longLines.delays.Load() }
 
 // Close closes all connections to workers. Attempts in flight end with balance.ConnectionReset.
-func (t *Transport) Close() { t.pool.close() }
+func (t *Transport) Close() {
+	t.pool.close()
+	t.longLines.close()
+}
 
 // Resize sets the maximum number of connections to workers and closes idle ones above it. Connections in use are not
 // closed, so their number may exceed the new maximum for a while.
 func (t *Transport) Resize(conns int) { t.pool.resize(conns) }
 
+// SetLongLines sets how many answers may hold a long line in memory at once, at most the limit that the transport was created
+// with. Those in use stay.
+func (t *Transport) SetLongLines(answers int) { t.longLines.resize(answers) }
+
 // UpdateWorkers applies a full endpoint list or an incremental change.
 func (t *Transport) UpdateWorkers(list config.EndpointList) { t.pool.update(list) }
 
