Chaos: builds with a fault follow the line that submits a request

Cause: changed the line before which two of the builds with a fault insert their text (`n.dispatcher.Submit(c)` is a condition now). TestAgreed ended before its first case: 'mutant fails: internal/node/request.go: the text to change stands there 0 times'. Change: the text follows the line.

--- a/internal/testing/chaos/controlplane.go
+++ b/internal/testing/chaos/controlplane.go
@@ -21,7 +21,7 @@
 const (
 	nodeSource    = "internal/node/node.go"
 	requestSource = "internal/node/request.go"
-	submitLine    = "	n.dispatcher.Submit(c)\n"
+	submitLine    = "	if !n.dispatcher.Submit(c) {\n"
 	servingLine   = "	n.serving.Store(true)\n"
 )
 
