Transport: bound the times at which workers left service

Callers would see: a discovery that replaces the whole list without end ends the node for memory. Cause: workerDirectory.outOfService kept the time of every worker that left service for a minute. The pace of discovery's messages bounds messages and bytes, but one message may replace some 10,000 workers, so that a million entries fit into the minute. Change: the times are in two generations, each of as many entries as there are workers in the list, 1,024 at the least; the older one goes as a whole, so that no update looks at all entries (which needed a pace of its own). They serve the check after a write alone, which looks at the worker of an attempt in flight. Test: transport.TestOutOfServiceTimesAreBounded; without the bound 38,912 times are kept with 2,048 workers listed.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -48,12 +48,11 @@
 	}
 }
 
-// outOfServiceSince returns when a worker left service, zero if it is in service, has never been, or its entry was dropped
-// (by an update of the workers, after outOfServiceRetention).
+// outOfServiceSince returns when a worker left service, zero if it is in service, has never been, or the time was dropped.
 func (p *pool) outOfServiceSince(worker string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.workers.outOfService[worker]
+	return p.workers.outOfService.since(worker)
 }
 
 // target returns a worker's id, zone and cell.
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -1,29 +1,20 @@
 package transport
 
 import (
-	"maps"
 	"time"
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 )
 
-// outOfServiceRetention is how long the time at which a worker left service is kept at least. Expired entries are dropped
-// by an update, at most one in outOfServiceSweep: each looks at all entries.
-const (
-	outOfServiceRetention = time.Minute
-	outOfServiceSweep     = time.Second
-)
-
 // workerDirectory holds the workers of the endpoint list. It is guarded by the pool's lock.
 type workerDirectory struct {
 	endpoints    map[string]config.Endpoint // by worker id
-	outOfService map[string]time.Time       // when each worker left service, by worker id
-	sweptAt      time.Time                  // when expired entries of outOfService were last dropped
+	outOfService outOfServiceTimes
 }
 
 func newWorkerDirectory() workerDirectory {
-	return workerDirectory{endpoints: map[string]config.Endpoint{}, outOfService: map[string]time.Time{}}
+	return workerDirectory{endpoints: map[string]config.Endpoint{}, outOfService: newOutOfServiceTimes()}
 }
 
 // update applies a full endpoint list or an incremental change.
@@ -60,24 +51,19 @@
 	return ids
 }
 
-// recordOutOfService records which of the workers that were in service no longer are, and drops the entries of those that
-// a change brings back, and expired ones.
+// recordOutOfService records which of the workers that were in service no longer are, and forgets the times of those that a change
+// brings back.
 func (d *workerDirectory) recordOutOfService(wereInService []string, changed []config.Endpoint, now time.Time) {
 	for _, id := range wereInService {
 		if !d.isInService(id) {
-			d.outOfService[id] = now
+			d.outOfService.record(id, now, len(d.endpoints))
 		}
 	}
 	for _, endpoint := range changed {
 		if d.isInService(endpoint.ID) {
-			delete(d.outOfService, endpoint.ID)
+			d.outOfService.forget(endpoint.ID)
 		}
 	}
-	if now.Sub(d.sweptAt) < outOfServiceSweep {
-		return
-	}
-	d.sweptAt = now
-	maps.DeleteFunc(d.outOfService, func(_ string, since time.Time) bool { return now.Sub(since) > outOfServiceRetention })
 }
 
 // isInService reports whether a worker accepts new jobs.
