Config: limit the texts of a worker's entry, of which a number is remembered

Callers would see: a discovery that replaces a worker with a long id without end ends the node for memory. Cause: workers that have left the list are kept by number, 64 at the least, and the times at which workers left service too; an id, zone, kind or cell could be as long as a message, 1 MiB. Change: each text of an entry may have 256 bytes (a host name has at most 253). A longer one is an error that names the key and refuses the message, as any faulty entry does: the list stays as it was.

--- a/internal/config/endpoints.go
+++ b/internal/config/endpoints.go
@@ -74,6 +74,9 @@
 	if e.Status != balance.Ready && e.Status != balance.Draining && e.Status != balance.Removed {
 		return entryError(index, "state", ErrUnknownState)
 	}
+	if key := e.longText(); key != "" {
+		return entryError(index, key, errTextTooLong)
+	}
 	if e.Status != balance.Removed {
 		if err := checkAddress(e.Address); err != nil {
 			return entryError(index, "addr", err)
@@ -88,7 +91,25 @@
 	return nil
 }
 
-var errStartOutOfRange = errors.New("out of range")
+// maxTextBytes limits each text of an entry: what is remembered of workers that have left the list is limited by their number.
+const maxTextBytes = 256
+
+// longText returns the key of a text that is longer than maxTextBytes, by its name in discovery's JSON; empty: none.
+func (e Endpoint) longText() (key string) {
+	for _, text := range [...]struct{ key, value string }{
+		{"id", e.ID}, {"addr", e.Address}, {"zone", e.Zone}, {"kind", e.Kind}, {"cell", e.Cell},
+	} {
+		if len(text.value) > maxTextBytes {
+			return text.key
+		}
+	}
+	return ""
+}
+
+var (
+	errStartOutOfRange = errors.New("out of range")
+	errTextTooLong     = fmt.Errorf("longer than %d bytes", maxTextBytes)
+)
 
 // entryError returns an error about a key of an entry, by the name that the key has in discovery's JSON.
 func entryError(index int, key string, err error) error {
--- a/internal/handover/unix_link_test.go
+++ b/internal/handover/unix_link_test.go
@@ -1,9 +1,10 @@
 package handover
 
 import (
+	"fmt"
 	"io"
 	"net"
-	"strings"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,8 +35,8 @@
 	return predecessor, successor, h
 }
 
-// A listening socket and connections are passed over a link with the messages that they belong to. The frame with the
-// id of 90000 bytes takes several reads.
+// A listening socket and connections are passed over a link with the messages that they belong to. The frame with
+// a list of over 90,000 bytes takes several reads.
 func TestUnix(t *testing.T) {
 	predecessor, successor, _ := linkPair(t, t.TempDir())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,8 +52,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	worker := balance.Worker{ID: strings.Repeat("p", 90000), Status: balance.Ready}
-	g := config.EndpointList{Version: 7, Endpoints: []config.Endpoint{{Address: "127.0.0.1:2", Worker: worker}}}
+	const workers, idBytes = 1000, 90
+	g := config.EndpointList{Version: 7}
+	for i := range workers {
+		worker := balance.Worker{ID: fmt.Sprintf("%0*d", idBytes, i), Status: balance.Ready}
+		g.Endpoints = append(g.Endpoints, config.Endpoint{Address: "127.0.0.1:2", Worker: worker})
+	}
 	closed := make(chan error, 1)
 	go func() {
 		m, _, err := predecessor.Receive(time.Second)
@@ -68,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if prior.Group.Version != 7 || len(prior.Group.Endpoints[0].ID) != 90000 || got.Addr().String() != ln.Addr().String() {
+	if prior.Group.Version != 7 || !slices.Equal(prior.Group.Endpoints, g.Endpoints) || got.Addr().String() != ln.Addr().String() {
 		t.Errorf("%+v", prior.Group.Version)
 	}
 	got.Close()
