Ingress: limit the header fields of a request, which took most of the node's memory

Callers would see: clients that send many short header fields and stop in the middle of the request end the node for memory. Cause: a head has a limit of 16 KiB, but net/http's parsed form of 2,600 short fields takes some 270 KB, at each connection, from the first field on, whether or not the head ever ends. Change: the connection counts the fields as they arrive (package httphead) and from the 101st on gives the server a line that does not end in their place: the server answers 431 as it does to a head with too many bytes. 100 is the usual limit of servers and proxies. A head that was read whole behind another request is answered 400.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -22,7 +22,8 @@
 	ClientConns        int           // connections that are served
 	OverflowConns      int           `check:"SpareConns"` // connections beyond ClientConns, accepted only to reject their requests
 	OpenRequests       int           // concurrent requests
-	HeaderBytes        int           // size of a message's header, from clients and workers
+	HeaderBytes        int           // size of a message's header, from clients, workers and discovery
+	HeaderFields       int           // header fields of a message
 	HeadReadSlack      int           `check:"HeadSlack"` // bytes that the server may read beyond a header
 	BodyBytes          int64         // size of a request's body
 	NewConnGrace       time.Duration `check:"SilentFor"`   // a new connection is not evicted for this long, even if others wait
@@ -167,6 +168,7 @@
 func fixedLimits() Limits {
 	return Limits{
 		HeaderBytes:        16 << 10,
+		HeaderFields:       100,
 		HeadReadSlack:      16 << 10,
 		BodyBytes:          64 << 10,
 		NewConnGrace:       100 * time.Millisecond,
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"swiftdeal/internal/httphead"
 	"swiftdeal/internal/socketreader"
 )
 
@@ -31,11 +32,13 @@
 	disconnected chan struct{} // closed on a disconnect behind bytes read ahead, which the server does not detect
 }
 
-// NewConn wraps a client connection and takes ownership of it. Up to maxHead bytes of a request head are buffered.
-// After a response, a lingering close waits up to lingerTimeout for the client to stop sending.
-func NewConn(conn net.Conn, maxHead int, lingerTimeout time.Duration) *Conn {
+// NewConn wraps a client connection and takes ownership of it. Up to maxHead.Bytes of a request head are buffered, and one
+// with more fields than maxHead.Fields is not passed to the server. After a response, a lingering close waits up to
+// lingerTimeout for the client to stop sending.
+func NewConn(conn net.Conn, maxHead httphead.Limits, lingerTimeout time.Duration) *Conn {
 	c := &Conn{Conn: conn, disconnected: make(chan struct{})}
-	c.head.maxBytes = maxHead
+	c.head.maxBytes = maxHead.Bytes
+	c.head.maxFields = maxHead.Fields
 	c.linger.timeout = lingerTimeout
 	c.isSocket = c.reader.Open(conn, (*readObserver)(c))
 	return c
@@ -120,8 +123,36 @@
 	c.startHeadTimeout()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. In place of a head with too many fields it returns a line that does not end: the server then does
+// not parse the fields, and answers as it does to a head with too many bytes.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.headRefused() {
+		return fillLine(p), nil
+	}
+	n, err := c.read(p)
+	if n > 0 && c.headRefused() {
+		return fillLine(p), nil
+	}
+	return n, err
+}
+
+// headRefused reports whether the head being read has too many fields. A head behind an open request has its turn later.
+func (c *Conn) headRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.request.open && c.head.tooManyFields()
+}
+
+// fillLine fills p with part of a line and returns its length.
+func fillLine(p []byte) int {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p)
+}
+
+// read reads the connection, or what was read ahead of it.
+func (c *Conn) read(p []byte) (int, error) {
 	n, err := c.consumeReadAhead(p)
 	if n > 0 || err != nil {
 		return n, err
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"swiftdeal/internal/httphead"
 )
 
 // connPair returns a client's connection and the node's end of it.
@@ -27,7 +29,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close(); raw.Close() })
-	return c.(*net.TCPConn), NewConn(raw, 32<<10, linger)
+	return c.(*net.TCPConn), NewConn(raw, httphead.Limits{Bytes: 32 << 10, Fields: 100}, linger)
 }
 
 const jobRequest = "POST /job HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
--- a/internal/ingress/conncontext.go
+++ b/internal/ingress/conncontext.go
@@ -64,6 +64,18 @@
 	return true
 }
 
+// hasTooManyFields reports whether a request's head, which has not been taken yet, has too many fields. It was read behind
+// an earlier request then (see Conn.headRefused).
+func hasTooManyFields(httpRequest *http.Request) bool {
+	conn := connFromRequest(httpRequest)
+	if conn == nil {
+		return false
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.head.tooManyFields()
+}
+
 // hasAmbiguousLength takes a request's head from the connection's buffer and reports whether the length of the
 // request is ambiguous. The head is parsed a second time only for chunked requests and for HTTP/1.0, where net/http
 // ignores Transfer-Encoding.
--- a/internal/ingress/headbuffer.go
+++ b/internal/ingress/headbuffer.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"net/textproto"
+
+	"swiftdeal/internal/httphead"
 )
 
 // headBuffer keeps the head of the current request as it was received. net/http drops a Content-Length that
@@ -11,9 +13,11 @@
 // in the body of the first. The cost for an ordinary request is one copy of its head.
 type headBuffer struct {
 	maxBytes      int    // maximum length of data
+	maxFields     int    // maximum number of header fields
 	data          []byte // received since the head began
-	bodyBytesLeft int64  // bytes of the current body that have not been received
-	framingLost   bool   // the start of the next head is not known
+	lines         httphead.LineCounter
+	bodyBytesLeft int64 // bytes of the current body that have not been received
+	framingLost   bool  // the start of the next head is not known
 }
 
 // write appends received bytes. It reports whether they begin a head: the buffer was empty and no longer is.
@@ -23,10 +27,15 @@
 	p = p[bodyBytes:]
 	headStarted = len(b.data) == 0 && len(p) > 0
 	room := max(b.maxBytes-len(b.data), 0)
-	b.data = append(b.data, p[:min(len(p), room)]...)
+	p = p[:min(len(p), room)]
+	b.data = append(b.data, p...)
+	b.lines.Add(p)
 	return headStarted
 }
 
+// tooManyFields reports whether the head has more header fields than allowed.
+func (b *headBuffer) tooManyFields() bool { return b.lines.Exceeds(b.maxFields) }
+
 // empty reports whether no byte of a head is buffered.
 func (b *headBuffer) empty() bool { return len(b.data) == 0 }
 
@@ -52,6 +61,8 @@
 	b.bodyBytesLeft = max(bodyLength-int64(len(rest)), 0)
 	bodyBytes := min(max(bodyLength, 0), int64(len(rest)))
 	b.data = append([]byte(nil), rest[bodyBytes:]...)
+	b.lines = httphead.LineCounter{}
+	b.lines.Add(b.data)
 	return head, true
 }
 
--- a/internal/ingress/reader.go
+++ b/internal/ingress/reader.go
@@ -63,8 +63,12 @@
 	// Limits the wait for a body that never comes, both here and in the server, which goes on reading the body after
 	// an early response.
 	controller.SetReadDeadline(c.Arrived.Add(r.limits.BodyTimeout))
+	tooManyFields := hasTooManyFields(httpRequest)
 	ambiguous := hasAmbiguousLength(httpRequest) // takes the head, which updates the arrival delay
 	c.Arrived = c.Arrived.Add(-takeArrivalDelay(httpRequest))
+	if tooManyFields {
+		return malformed("too many header fields")
+	}
 	if ambiguous {
 		return malformed("Content-Length beside Transfer-Encoding, or a head that cannot be made out")
 	}
--- a/internal/ingress/reader_test.go
+++ b/internal/ingress/reader_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/httphead"
 	"swiftdeal/internal/request"
 )
 
@@ -119,7 +120,7 @@
 			}
 			client.Close()
 		}()
-		conn := NewConn(server, 1<<10, 0)
+		conn := NewConn(server, httphead.Limits{Bytes: 1 << 10, Fields: 100}, 0)
 		in := bufio.NewReaderSize(conn, 64)
 		for _, want := range heads {
 			r, err := http.ReadRequest(in)
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/httphead"
 	"swiftdeal/internal/ingress"
 	"swiftdeal/internal/invariant"
 )
@@ -78,7 +79,8 @@
 		return nil, err
 	}
 	tracker := l.tracker
-	clientConn := ingress.NewConn(raw, tracker.limits.HeaderBytes+tracker.limits.HeadReadSlack, tracker.limits.LingerTimeout)
+	maxHead := httphead.Limits{Bytes: tracker.limits.HeaderBytes + tracker.limits.HeadReadSlack, Fields: tracker.limits.HeaderFields}
+	clientConn := ingress.NewConn(raw, maxHead, tracker.limits.LingerTimeout)
 	acceptedAt, queued := time.Now(), time.Duration(0)
 	if timer, ok := l.Listener.(queueTimer); ok {
 		queued = timer.Waited()
