Transport, discovery: limit the header fields of answers

Change: httphead.Reader limits a head by bytes and by fields, 100 of them, also after interim answers and in what was received before; an answer beyond that ends as a broken connection, as one with too many bytes did. Tests: three cases of transport.TestOutcomes (with a limit of 100,000 fields the first does not end within 10 s), httphead.TestReader.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -5,10 +5,11 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
+
+	"swiftdeal/internal/httphead"
 )
 
 // call is one call to discovery.
@@ -34,12 +35,16 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", made.path, addr); err != nil {
 		return err
 	}
-	limited := &io.LimitedReader{R: conn, N: int64(c.limits.HeaderBytes)} // bodies have limits of their own
-	resp, err := http.ReadResponse(bufio.NewReader(limited), &http.Request{Method: http.MethodGet})
+	reader := &httphead.Reader{Source: conn}
+	most := httphead.Limits{Bytes: c.limits.HeaderBytes, Fields: c.limits.HeaderFields}
+	if err := reader.BeginHead(most, nil); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(reader), &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return err
 	}
-	limited.N = math.MaxInt64
+	reader.EndHead()
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{resp.Status}
 	}
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -65,7 +65,7 @@
 	e := make(eventChannel, 100)
 	limits := config.Limits{
 		DiscoveryTimeout: time.Minute, FirstEventTimeout: time.Minute, WatchSilenceTimeout: silence, EndpointListBytes: 1 << 10,
-		HeaderBytes: 1 << 10, ListUpdatesPerSecond: 1000, ListUpdateBurst: 1000,
+		HeaderBytes: 1 << 10, HeaderFields: 100, ListUpdatesPerSecond: 1000, ListUpdateBurst: 1000,
 	}
 	return New(limits, platform.Real().Dial, addr, 41, e), e
 }
--- a/internal/discovery/flood_test.go
+++ b/internal/discovery/flood_test.go
@@ -30,7 +30,7 @@
 // floodLimits are limits with a low pace of messages.
 var floodLimits = config.Limits{
 	DiscoveryTimeout: time.Minute, FirstEventTimeout: time.Minute, WatchSilenceTimeout: time.Minute, EndpointListBytes: 1 << 10,
-	HeaderBytes: 1 << 10, ListUpdatesPerSecond: 10, ListUpdateBurst: 20,
+	HeaderBytes: 1 << 10, HeaderFields: 100, ListUpdatesPerSecond: 10, ListUpdateBurst: 20,
 }
 
 // watchFlood starts a watch whose answer goes on with the given text without end.
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,8 +1,12 @@
 package httphead
 
 import (
+	"errors"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 // messageWith returns a message with the given number of header fields, and a body of many lines.
@@ -27,3 +31,33 @@
 		}
 	}
 }
+
+// Guards against heads with fields without end: they are read up to a limit of bytes and one of fields, but what follows a head is
+// read to its end.
+func TestReader(t *testing.T) {
+	for _, c := range []struct {
+		head   string
+		limits Limits
+		want   error
+	}{
+		{messageWith(5, "\r\n"), Limits{Bytes: 2000, Fields: 5}, nil},
+		{messageWith(6, "\r\n"), Limits{Bytes: 2000, Fields: 5}, ErrTooLong},
+		{messageWith(5, "\r\n"), Limits{Bytes: 200, Fields: 5}, ErrTooLong},
+	} {
+		if err := new(Reader).BeginHead(c.limits, []byte(c.head)); !errors.Is(err, c.want) && c.limits.Bytes >= len(c.head) {
+			t.Errorf("%+v: error %v for what was received before, want %v", c.limits, err, c.want)
+		}
+		r := Reader{Source: iotest.OneByteReader(strings.NewReader(c.head))}
+		r.BeginHead(c.limits, nil)
+		if _, err := io.Copy(io.Discard, &r); !errors.Is(err, c.want) {
+			t.Errorf("%+v: error %v, want %v", c.limits, err, c.want)
+		}
+		if c.want == nil {
+			r.Source = strings.NewReader(fmt.Sprint(c.head, c.head))
+			r.EndHead()
+			if n, err := io.Copy(io.Discard, &r); err != nil || n != int64(2*len(c.head)) {
+				t.Errorf("after the head %d bytes were read, error %v", n, err)
+			}
+		}
+	}
+}
--- a/internal/transport/answerpace_test.go
+++ b/internal/transport/answerpace_test.go
@@ -57,7 +57,7 @@
 		span   = 10 * time.Second
 	)
 	limits := config.Limits{
-		HeaderBytes: 1 << 10, WorkerConns: floods + 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute,
+		HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: floods + 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute,
 		LineBytes: 1 << 10, UnpacedAnswerBytes: 4 << 10, AnswerBytesPerSecond: 8 << 10,
 	}
 	mostDelayed := (int(span.Seconds())*limits.AnswerBytesPerSecond + limits.UnpacedAnswerBytes) / lineOverheadBytes
@@ -109,7 +109,7 @@
 func TestLongResultIsNotDelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := config.Limits{
-			HeaderBytes: 1 << 10, WorkerConns: 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute,
+			HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute,
 			LineBytes: 512 << 10, LongLineTimeout: time.Second, UnpacedAnswerBytes: 1 << 10, AnswerBytesPerSecond: 1 << 10,
 		}
 		transport, events, pipes := newPipedTransport(t, limits)
@@ -129,7 +129,7 @@
 func TestDetachOfDelayedAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := config.Limits{
-			HeaderBytes: 1 << 10, WorkerConns: 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute, LineBytes: 1 << 10,
+			HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: 1, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute, LineBytes: 1 << 10,
 			UnpacedAnswerBytes: 8 << 10, AnswerBytesPerSecond: 1, ReplayableResponseBytes: 4 << 10, DetachTimeout: time.Minute,
 		}
 		transport, _, pipes := newPipedTransport(t, limits)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
+
+	"swiftdeal/internal/httphead"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -18,9 +19,9 @@
 	net.Conn
 	pool        *pool
 	worker      string
-	address     string            // empty if not known; the connection is then not reused
-	workerStart time.Duration     // start time of the worker process, from the endpoint list
-	limited     *io.LimitedReader // limits the size of an answer's header
+	address     string           // empty if not known; the connection is then not reused
+	workerStart time.Duration    // start time of the worker process, from the endpoint list
+	heads       *httphead.Reader // limits the heads of answers
 	reader      *bufio.Reader
 	recorder    *answerRecorder // nil if migration is not enabled
 	connCheck   *connCheck      // reads the socket; nil if the connection is not a socket
@@ -40,12 +41,12 @@
 	if c.connCheck = newConnCheck(raw, p.readHook); c.connCheck != nil {
 		source = c.connCheck
 	}
-	c.limited = &io.LimitedReader{R: source, N: math.MaxInt64}
+	c.heads = &httphead.Reader{Source: source}
 	if p.attempts != nil {
 		c.recorder = &answerRecorder{raw: raw, source: source, maxBytes: p.limits.ReplayableResponseBytes}
-		c.limited.R = c.recorder
+		c.heads.Source = c.recorder
 	}
-	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
+	c.reader = bufio.NewReaderSize(c.heads, readBufferBytes)
 	return c
 }
 
@@ -117,19 +118,28 @@
 	return x.awaitWritten(c, limits.ResponseEndTimeout) && x.endedByAnswer()
 }
 
-// readHeader reads the status line and header of an answer and skips interim (1xx) responses. It limits the header's
-// size; the body has limits of its own.
+// readHeader reads the status line and header of an answer and skips interim (1xx) responses, within the limits of a
+// head.
 func (c *conn) readHeader(method string) (*http.Response, error) {
-	c.limited.N = int64(c.pool.limits.HeaderBytes)
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
+	most := httphead.Limits{Bytes: c.pool.limits.HeaderBytes, Fields: c.pool.limits.HeaderFields}
+	defer c.heads.EndHead()
+	err := c.heads.BeginHead(most, c.received())
+	for err == nil {
+		var resp *http.Response
+		if resp, err = http.ReadResponse(c.reader, &http.Request{Method: method}); err != nil {
+			break
 		}
 		interim := resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols
 		if !interim {
-			c.limited.N = math.MaxInt64
 			return resp, nil
 		}
+		err = c.heads.ContinueHead(c.received())
 	}
+	return nil, err
+}
+
+// received returns what has been read from the connection and not used yet.
+func (c *conn) received() []byte {
+	received, _ := c.reader.Peek(c.reader.Buffered()) // does not read
+	return received
 }
--- a/internal/transport/longlines_test.go
+++ b/internal/transport/longlines_test.go
@@ -18,7 +18,7 @@
 // longLineLimits are limits with room for few long lines.
 func longLineLimits(slots int) config.Limits {
 	return config.Limits{
-		HeaderBytes: 1 << 10, WorkerConns: 10, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute, LineBytes: 512 << 10,
+		HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: 10, WorkerIdleTimeout: time.Hour, ResponseEndTimeout: time.Minute, LineBytes: 512 << 10,
 		LongLines: slots, LongLineTimeout: 5 * time.Second, UnpacedAnswerBytes: 16 << 10, AnswerBytesPerSecond: 1 << 20,
 	}
 }
--- a/internal/transport/migration.go
+++ b/internal/transport/migration.go
@@ -58,7 +58,7 @@
 	p.connCount++
 	c := p.newConn(d.Conn, x, peerAddress(d.Conn))
 	p.mu.Unlock()
-	c.limited.R = io.MultiReader(bytes.NewReader(d.Received), c.limited.R)
+	c.heads.Source = io.MultiReader(bytes.NewReader(d.Received), c.heads.Source)
 	if c.recorder != nil {
 		c.recorder.received = append(c.recorder.received, d.Received...)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -111,7 +111,7 @@
 		panic(err)
 	}
 	l := config.Limits{
-		HeaderBytes: 1 << 10, WorkerConns: 4, DialTimeout: time.Minute, HealthCheckTimeout: time.Minute, WorkerIdleTimeout: time.Hour,
+		HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: 4, DialTimeout: time.Minute, HealthCheckTimeout: time.Minute, WorkerIdleTimeout: time.Hour,
 		ResponseEndTimeout: time.Minute, LineBytes: 1 << 10, ReportBytes: 100,
 		UnpacedAnswerBytes: 16 << 10, AnswerBytesPerSecond: 64 << 10,
 	}
@@ -176,6 +176,12 @@
 		{"no result", chunkedAnswer(`{"id":"r","state":"done"}`), balance.ConnectionReset},
 		{"line too long", chunkedAnswer(`{"id":"r","state":"` + strings.Repeat("x", 1<<10) + `"}`), balance.ConnectionReset},
 		{"header too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<14), balance.ConnectionReset},
+		// Guards against heads of many short fields that do not end, which took twenty times their length in memory.
+		{"too many header fields", "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 101), balance.ConnectionReset},
+		{"too many header fields after an interim answer", "HTTP/1.1 103 X\r\n" + strings.Repeat("a:\r\n", 90) + "\r\n" +
+			"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 110), balance.ConnectionReset},
+		{"most header fields", "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 100) + "\r\n" + doneLine + "\n" + strings.Repeat("\n", 100) + "!",
+			balance.OK},
 		{"closed", "!", balance.ConnectionReset},
 	} {
 		worker := newScriptedWorker(t)
--- a/internal/transport/wire_test.go
+++ b/internal/transport/wire_test.go
@@ -96,7 +96,7 @@
 	events := recordedEvents{make(chan endedAttempt, 10), make(chan balance.ProgressKind, 10)}
 	nodeEnd, workerEnd := net.Pipe()
 	limits := config.Limits{
-		HeaderBytes: 1 << 10, WorkerConns: 1, HealthCheckTimeout: time.Minute, WorkerIdleTimeout: time.Hour,
+		HeaderBytes: 1 << 10, HeaderFields: 100, WorkerConns: 1, HealthCheckTimeout: time.Minute, WorkerIdleTimeout: time.Hour,
 		ResponseEndTimeout: time.Minute, LineBytes: 1 << 10, ReportBytes: 100,
 		UnpacedAnswerBytes: 16 << 10, AnswerBytesPerSecond: 64 << 10,
 	}
