Log: bound the bytes of lines that wait for a slow reader

Need: lines that wait for the reader of the log were bounded by number alone, 4,096. At debug level an update of the endpoint list is one line, which may be over a megabyte: a discovery that sends whole lists without end, beside a log that nobody reads, fills the memory. Read while following what peers can repeat; no trial of the whole node was made. Further ones are dropped and counted, as before. Test: asynclog.TestQueuedBytesAreBounded failed before (none of 100 lines dropped where 3 fit).

--- a/cmd/swiftdeal/serve.go
+++ b/cmd/swiftdeal/serve.go
@@ -20,6 +20,7 @@
 
 const (
 	logQueueLines   = 4096                   // log lines buffered while the reader of the log is slow
+	logQueueShare   = 16                     // the part of the memory that these may take: one in so many bytes
 	logFlushTimeout = 200 * time.Millisecond // limit for writing the buffered lines when the process exits
 )
 
@@ -45,7 +46,7 @@
 	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	sink := asynclog.New(os.Stderr, logQueueLines)
+	sink := asynclog.New(os.Stderr, logQueueLines, c.Limits.MemoryBytes/logQueueShare)
 	defer sink.Close(logFlushTimeout)
 	log, err := s.newLogger(sink)
 	if err != nil {
--- a/internal/asynclog/writer.go
+++ b/internal/asynclog/writer.go
@@ -15,7 +15,9 @@
 type Writer struct {
 	target        io.Writer
 	queue         chan entry
-	lagging       atomic.Bool // target is behind, and Write does not wait for it
+	maxBytes      int64        // of all queued lines
+	queuedBytes   atomic.Int64 // with the line being written
+	lagging       atomic.Bool  // target is behind, and Write does not wait for it
 	closing       chan struct{}
 	finished      chan struct{} // closed once all queued lines have been written
 	dropped       atomic.Int64
@@ -32,11 +34,12 @@
 // line is written before whatever the caller does next.
 const maxWriteWait = 2 * time.Millisecond
 
-// New returns a Writer with a queue of the given number of lines in front of target. Nothing else may write to target
-// until the Writer is closed.
-func New(target io.Writer, lines int) *Writer {
+// New returns a Writer with a queue of the given number of lines in front of target, which together have at most maxBytes.
+// Nothing else may write to target until the Writer is closed.
+func New(target io.Writer, lines int, maxBytes int64) *Writer {
 	w := &Writer{
-		target: target, queue: make(chan entry, lines), closing: make(chan struct{}), finished: make(chan struct{}),
+		target: target, queue: make(chan entry, lines), maxBytes: maxBytes,
+		closing: make(chan struct{}), finished: make(chan struct{}),
 	}
 	go w.run()
 	return w
@@ -45,10 +48,8 @@
 // Write implements io.Writer. It never fails. While target keeps up, it waits at most maxWriteWait for the line to be
 // written.
 func (w *Writer) Write(text []byte) (int, error) {
-	e := entry{bytes.Clone(text), make(chan struct{})}
-	select {
-	case w.queue <- e:
-	default:
+	e := entry{written: make(chan struct{})}
+	if !w.enqueue(&e, text) {
 		w.dropped.Add(1)
 		return len(text), nil
 	}
@@ -65,6 +66,21 @@
 	return len(text), nil
 }
 
+// enqueue adds a copy of a line to the queue, and returns false if there is no room for it.
+func (w *Writer) enqueue(e *entry, text []byte) bool {
+	size := int64(len(text))
+	if w.queuedBytes.Add(size) <= w.maxBytes {
+		e.text = bytes.Clone(text)
+		select {
+		case w.queue <- *e:
+			return true
+		default:
+		}
+	}
+	w.queuedBytes.Add(-size)
+	return false
+}
+
 // Dropped returns the number of lines dropped.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -109,6 +125,7 @@
 // writeEntry writes a line. Once the queue is empty, it also reports how many lines have been dropped.
 func (w *Writer) writeEntry(e entry) {
 	w.target.Write(e.text)
+	w.queuedBytes.Add(-int64(len(e.text)))
 	close(e.written)
 	if len(w.queue) > 0 {
 		return
--- a/internal/asynclog/writer_test.go
+++ b/internal/asynclog/writer_test.go
@@ -25,7 +25,7 @@
 // number reported.
 func TestWriteDoesNotBlock(t *testing.T) {
 	g := &gatedWriter{}
-	w := New(g, 3)
+	w := New(g, 3, 1<<10)
 	g.mu.Lock()
 	for range 100 {
 		w.Write([]byte("line\n"))
@@ -41,11 +41,35 @@
 	}
 }
 
+// Guards against long lines, such as whole endpoint lists at debug level, that fill the memory while nobody reads the log: the
+// queue is bounded by bytes too. Once it has been written, lines are taken again.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	const line, fitting = 1 << 10, 3
+	g := &gatedWriter{}
+	w := New(g, 1000, fitting*line)
+	g.mu.Lock()
+	for range 100 {
+		w.Write(bytes.Repeat([]byte("x"), line))
+	}
+	if n := w.Dropped(); n != 100-fitting {
+		t.Errorf("%d lines dropped, want %d", n, 100-fitting)
+	}
+	g.mu.Unlock()
+	for w.queuedBytes.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.Write([]byte("later\n"))
+	w.Close(time.Hour)
+	if n := strings.Count(g.text.String(), "x"); n != fitting*line || !strings.Contains(g.text.String(), "later") {
+		t.Errorf("%d bytes of long lines were written, or no line afterwards", n)
+	}
+}
+
 // Close must not wait longer than its timeout for a target that blocks.
 func TestCloseTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		unblock := make(chan struct{})
-		w := New(blockedWriter{unblock}, 3)
+		w := New(blockedWriter{unblock}, 3, 1<<10)
 		w.Write([]byte("line\n"))
 		start := time.Now()
 		w.Close(time.Second)
