Config: decode discovery's entries one at a time, up to the first invalid one

Callers would see: a discovery that sends a message of many short entries ends the node for memory. Cause: the message was decoded whole, 1 MiB into a list of 340,000 entries that grows by copies, before the first entry was found to be invalid. Change: entries are decoded and checked one at a time, and the first invalid one refuses the message. Valid entries are not that short. A value of another type for servers is an error that names the key. Test: config.TestShortEntriesTakeLittleMemory failed before (263,028,408 bytes allocated for a message of 1,048,615).

--- a/internal/config/endpoints.go
+++ b/internal/config/endpoints.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -134,7 +135,36 @@
 type listMessage struct {
 	Version *int64        `json:"version"`
 	Full    bool          `json:"full"`
-	Servers []listedEntry `json:"servers"`
+	Servers listedEntries `json:"servers"`
+}
+
+// listedEntries are the entries of a message. They are decoded one at a time, up to the first invalid one: a message of many
+// short entries would take many times the memory of its text, but valid entries are not that short.
+type listedEntries []Endpoint
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *listedEntries) UnmarshalJSON(text []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	switch start, err := decoder.Token(); {
+	case err != nil:
+		return err
+	case start == nil: // null
+		return nil
+	case start != json.Delim('['):
+		return keyError("servers", ErrNotList)
+	}
+	for i := 0; decoder.More(); i++ {
+		var entry listedEntry
+		if err := decoder.Decode(&entry); err != nil {
+			return err
+		}
+		endpoint, err := entry.endpoint(i)
+		if err != nil {
+			return err
+		}
+		*l = append(*l, endpoint)
+	}
+	return nil
 }
 
 // listedEntry is the JSON form of one entry in a message of discovery.
@@ -149,30 +179,33 @@
 	StartedMs float64         `json:"started_ms"`
 }
 
+// endpoint returns the endpoint that an entry describes; index is its position in the message.
+func (e *listedEntry) endpoint(index int) (Endpoint, error) {
+	status, ok := stateByName[e.State]
+	if !ok {
+		return Endpoint{}, entryError(index, "state", fmt.Errorf("%q is %w", e.State, ErrUnknownState))
+	}
+	if e.StartedMs < 0 || e.StartedMs > maxStartedMs { // checked before the conversion to a duration, which could overflow
+		return Endpoint{}, entryError(index, "started_ms", errStartOutOfRange)
+	}
+	endpoint := Endpoint{Address: e.Address, Worker: balance.Worker{
+		ID: e.ID, Zone: e.Zone, Cell: string(e.Cell), Kind: e.Kind, Weight: e.Weight,
+		StartedAt: time.Duration(e.StartedMs * float64(time.Millisecond)), Status: status,
+	}}
+	return endpoint, endpoint.validate(index)
+}
+
 // ParseEndpointList parses a message of discovery. One invalid entry rejects the whole message, because a partial list would
 // be taken for the full one.
 func ParseEndpointList(text []byte) (EndpointList, error) {
-	var m listMessage
+	m := listMessage{Servers: listedEntries{}}
 	if err := json.Unmarshal(text, &m); err != nil {
 		return EndpointList{}, err
 	}
 	if m.Version == nil {
 		return EndpointList{}, keyError("version", settings.ErrMissing)
 	}
-	list := EndpointList{Version: *m.Version, Full: m.Full, Endpoints: make([]Endpoint, 0, len(m.Servers))}
-	for i, entry := range m.Servers {
-		state, ok := stateByName[entry.State]
-		if !ok {
-			return EndpointList{}, entryError(i, "state", fmt.Errorf("%q is %w", entry.State, ErrUnknownState))
-		}
-		if entry.StartedMs < 0 || entry.StartedMs > maxStartedMs { // checked before the conversion to a duration, which could overflow
-			return EndpointList{}, entryError(i, "started_ms", errStartOutOfRange)
-		}
-		list.Endpoints = append(list.Endpoints, Endpoint{Address: entry.Address, Worker: balance.Worker{
-			ID: entry.ID, Zone: entry.Zone, Cell: string(entry.Cell), Kind: entry.Kind, Weight: entry.Weight,
-			StartedAt: time.Duration(entry.StartedMs * float64(time.Millisecond)), Status: state,
-		}})
-	}
+	list := EndpointList{Version: *m.Version, Full: m.Full, Endpoints: m.Servers}
 	if err := list.Validate(); err != nil {
 		return EndpointList{}, err
 	}
--- a/internal/config/endpoints_test.go
+++ b/internal/config/endpoints_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -27,3 +28,24 @@
 		}
 	}
 }
+
+// Guards against messages of many short entries, which took many times the memory of their text: decoding ends with the first invalid
+// entry.
+func TestShortEntriesTakeLittleMemory(t *testing.T) {
+	message := []byte(`{"version":1,"full":true,"servers":[{}` + strings.Repeat(",{}", 1<<20/len(",{}")) + "]}")
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := ParseEndpointList(message)
+	runtime.ReadMemStats(&after)
+	if want := `servers[0].state: "" is unknown`; fmt.Sprint(err) != want {
+		t.Errorf("error %v, want %s", err, want)
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > uint64(len(message)) {
+		t.Errorf("%d bytes allocated for a message of %d", allocated, len(message))
+	}
+	for text, want := range map[string]string{"null": "<nil>", "{}": "servers: not a list", "[3]": "json: cannot unmarshal number"} {
+		if _, err := ParseEndpointList([]byte(`{"version":1,"servers":` + text + "}")); !strings.HasPrefix(fmt.Sprint(err), want) {
+			t.Errorf("servers %s: error %v, want %s", text, err, want)
+		}
+	}
+}
