--- a/internal/testing/simulation/statespace/state.go
+++ b/internal/testing/simulation/statespace/state.go
@@ -10,44 +10,46 @@
 	"swiftdeal/internal/controlplane/disruption"
 )
 
-// node is one node.
+// node is a node of the model.
 type node struct {
 	incarnation, group uint8
 	dead, asleep       bool
-	drained            bool  // it is out, under a permit
-	grant              uint8 // that permit
-	fresh              uint8 // the permit that it has asked to have confirmed since it last slept
-	writtenOff         bool  // written off
+	drained            bool  // out of service
+	grant              uint8 // the grant under which it is out of service
+	awaited            uint8 // the grant for which it awaits a confirmation; a suspension or a return ends the wait
+	writtenOff         bool
 }
 
-// message is on its way, for ever until it is lost.
+// message is a message on its way. It may arrive any number of times until it is lost.
 type message struct{ kind, node, incarnation, grant, group uint8 }
 
-// kinds of message.
+// Kinds of messages.
 const (
 	confirm uint8 = iota
 	confirmed
 	back
 )
 
-// state is one state.
+// state is a state of the fleet and of the control plane.
 type state struct {
 	machine                            *disruption.State
 	group                              uint8
 	nodes                              []node
-	messages                           []message // in order, each once: any may come again and again
-	belief                             []bool    // by the leader: in service
+	messages                           []message // sorted, without duplicates
+	observed                           []bool    // for each node, whether the leader takes it to be in service
 	crashes, sleeps, resets, writeOffs int
 }
 
+// name returns the name of a node.
 func name(i int) string { return fmt.Sprintf("n%d", i) }
 
+// first returns the state in which all nodes are in service.
 func (m *Model) first() *state {
 	w := &state{
 		machine:   disruption.New(),
 		group:     1,
 		nodes:     make([]node, m.Nodes),
-		belief:    make([]bool, m.Nodes),
+		observed:  make([]bool, m.Nodes),
 		crashes:   m.Crashes,
 		sleeps:    m.Sleeps,
 		resets:    m.Forgets,
@@ -57,11 +59,12 @@
 	for i := range w.nodes {
 		w.nodes[i] = node{incarnation: 1, group: 1}
 		w.register(m, i)
-		w.belief[i] = true
+		w.observed[i] = true
 	}
 	return w
 }
 
+// configure sets the budgets.
 func (m *Model) configure(w *state) {
 	w.machine.Budgets = disruption.Budgets{
 		Nodes:           m.Budget,
@@ -71,6 +74,7 @@
 	}
 }
 
+// register makes a node known to the control plane.
 func (w *state) register(m *Model, i int) {
 	w.machine.Apply(
 		1,
@@ -89,10 +93,10 @@
 	)
 }
 
-// clone copies a state as far as steps change it.
+// clone returns a copy. It shares with the original what no step changes.
 func (w *state) clone() *state {
 	c := *w
-	c.nodes, c.messages, c.belief = slices.Clone(w.nodes), slices.Clone(w.messages), slices.Clone(w.belief)
+	c.nodes, c.messages, c.observed = slices.Clone(w.nodes), slices.Clone(w.messages), slices.Clone(w.observed)
 	s := *w.machine
 	s.Members, s.Unhealthy, s.WrittenOff, s.History = map[string]*disruption.Member{}, map[string]string{}, map[string]bool{}, nil
 	for k, v := range w.machine.Members {
@@ -101,13 +105,8 @@
 	for k, v := range w.machine.WrittenOff {
 		s.WrittenOff[k] = v
 	}
-	s.Queue, s.Grants = make(
-		[]*disruption.PendingRequest,
-		len(w.machine.Queue),
-	), make(
-		[]*disruption.Grant,
-		len(w.machine.Grants),
-	)
+	s.Queue = make([]*disruption.PendingRequest, len(w.machine.Queue))
+	s.Grants = make([]*disruption.Grant, len(w.machine.Grants))
 	for i, q := range w.machine.Queue {
 		r := *q
 		s.Queue[i] = &r
@@ -120,21 +119,22 @@
 	return &c
 }
 
-// tidy gives permits numbers from 1 in their order, so that states that differ in nothing else are one.
-func (w *state) tidy() {
-	// What names a permit that is no more changes nothing at the council; and an answer counts only for a node that still asks.
+// normalize drops messages without an effect and renumbers the grants from 1 in their order, so that states that differ in nothing
+// else are equal.
+func (w *state) normalize() {
+	// A message with the id of a grant that has ended has no effect, and a confirmation none at a node that does not await it.
 	w.messages = slices.DeleteFunc(w.messages, func(x message) bool {
 		n := w.nodes[x.node]
 		if x.kind == confirmed {
-			return n.fresh != x.grant || n.incarnation != x.incarnation || n.group != x.group
+			return n.awaited != x.grant || n.incarnation != x.incarnation || n.group != x.group
 		}
 		return x.group != w.group ||
 			!slices.ContainsFunc(w.machine.Grants, func(p *disruption.Grant) bool { return p.ID == uint64(x.grant) })
 	})
-	var nos []uint64
-	add := func(n uint64) {
-		if n != 0 && !slices.Contains(nos, n) {
-			nos = append(nos, n)
+	var ids []uint64
+	add := func(id uint64) {
+		if id != 0 && !slices.Contains(ids, id) {
+			ids = append(ids, id)
 		}
 	}
 	for _, p := range w.machine.Grants {
@@ -145,23 +145,25 @@
 	}
 	for _, n := range w.nodes {
 		add(uint64(n.grant))
-		add(uint64(n.fresh))
+		add(uint64(n.awaited))
 	}
-	slices.Sort(nos)
-	to := func(n uint64) uint64 {
-		if n == 0 {
+	slices.Sort(ids)
+	renumbered := func(id uint64) uint64 {
+		if id == 0 {
 			return 0
 		}
-		return uint64(slices.Index(nos, n) + 1)
+		return uint64(slices.Index(ids, id) + 1)
 	}
 	for _, p := range w.machine.Grants {
-		p.ID = to(p.ID)
+		p.ID = renumbered(p.ID)
 	}
 	for i := range w.messages {
-		w.messages[i].grant = uint8(to(uint64(w.messages[i].grant)))
+		w.messages[i].grant = uint8(renumbered(uint64(w.messages[i].grant)))
 	}
 	for i := range w.nodes {
-		w.nodes[i].grant, w.nodes[i].fresh = uint8(to(uint64(w.nodes[i].grant))), uint8(to(uint64(w.nodes[i].fresh)))
+		n := &w.nodes[i]
+		n.grant = uint8(renumbered(uint64(n.grant)))
+		n.awaited = uint8(renumbered(uint64(n.awaited)))
 	}
 	for i, q := range w.machine.Queue {
 		q.ID, q.WaitReason = uint64(i+1), ""
@@ -171,7 +173,7 @@
 	w.machine.Observed = disruption.Observed{}
 }
 
-// flags are what is true of a node, a bit each.
+// flags returns what is true of a node, one bit each.
 func (w *state) flags(i int) (bits byte) {
 	n := w.nodes[i]
 	for position, isSet := range []bool{
@@ -179,7 +181,7 @@
 		n.asleep,
 		n.drained,
 		n.writtenOff,
-		w.belief[i],
+		w.observed[i],
 		w.machine.Members[name(i)] != nil,
 		w.machine.WrittenOff[name(i)],
 	} {
@@ -190,11 +192,12 @@
 	return bits
 }
 
+// key returns a hash of all that distinguishes a state from others.
 func (w *state) key() uint64 {
 	var b []byte
 	b = append(b, w.group, byte(w.crashes), byte(w.sleeps), byte(w.resets), byte(w.writeOffs))
 	for i, n := range w.nodes {
-		b = append(b, n.incarnation, n.group, n.grant, n.fresh, w.flags(i))
+		b = append(b, n.incarnation, n.group, n.grant, n.awaited, w.flags(i))
 		if m := w.machine.Members[name(i)]; m != nil {
 			b = append(b, byte(m.InstanceID))
 		}
@@ -211,24 +214,26 @@
 	return xxhash.Sum64(b)
 }
 
-// seen is what the leader sees, right or not; self is held for in service, since it says so itself.
-func (m *Model) seen(w *state, self int) *disruption.Observed {
+// observed returns the nodes that the leader takes to be out of service, right or not, without the node self, whose own message the
+// leader handles; -1: none.
+func (m *Model) observed(w *state, self int) *disruption.Observed {
 	o := &disruption.Observed{}
 	for i := range w.nodes {
 		known := w.machine.Members[name(i)]
 		switch {
-		case i == self, used(w.machine.GrantOf(disruption.Subject{Name: name(i)})):
+		case i == self, isConfirmed(w.machine.GrantOf(disruption.Subject{Name: name(i)})):
 		case known == nil && (m.Trust || w.machine.WrittenOff[name(i)]):
 		case known == nil:
 			o.Nodes = append(
 				o.Nodes,
-				disruption.Unavailable{Name: name(i), Reason: "not known", Site: fmt.Sprint(i % m.Sites)},
+				disruption.Unavailable{Name: name(i), Reason: "unknown", Site: fmt.Sprint(i % m.Sites)},
 			)
-		case !w.belief[i] && !m.ReleaseBySilence:
+		case !w.observed[i] && !m.ReleaseBySilence:
 			o.Nodes = append(o.Nodes, disruption.Unavailable{Name: name(i), Reason: "out", Site: known.Site})
 		}
 	}
 	return o
 }
 
-func used(p *disruption.Grant) bool { return p != nil && p.Phase != disruption.PhaseGranted }
+// isConfirmed reports whether the exit under a grant was confirmed, so that the grant itself counts against the budgets; nil: no.
+func isConfirmed(p *disruption.Grant) bool { return p != nil && p.Phase != disruption.PhaseGranted }
