--- a/review/rig-2/discovery.go
+++ b/review/rig-2/discovery.go
@@ -96,6 +96,24 @@
 
 	mu   sync.Mutex
 	told map[int]time.Time // when the change with a version was first written here
+	busy bool              // calls that come now wait too long
+}
+
+// callTimeout is how long a call waits for its turn at most.
+const callTimeout = time.Second
+
+// setBusy has calls that come from now on wait too long, or not; open watches go on.
+func (f *front) setBusy(busy bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy = busy
+	f.discovery.record.printf("discovery at %s: crowded: %v", f.name, busy)
+}
+
+func (f *front) isBusy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.busy
 }
 
 func (d *discovery) serveAt(name string) (*front, error) {
@@ -146,6 +164,12 @@
 		return
 	}
 	d.record.printf("discovery at %s: call %s from %s", f.name, r.URL.RequestURI(), r.RemoteAddr)
+	if f.isBusy() {
+		time.Sleep(callTimeout)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		d.record.printf("discovery at %s: 503 to %s", f.name, r.RemoteAddr)
+		return
+	}
 	if r.URL.Query().Get("follow") != "1" {
 		json.NewEncoder(w).Encode(d.full())
 		return
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -27,7 +27,7 @@
 	return c.LocalAddr().String()
 }
 
-// fleet sets up nodes of which the first `seats` have a seat in the council. Seats keep nothing on a disk: the platform gives none that
+// fleet sets up nodes of which the first `seats` have a seat in the council; without seats there is none. Seats keep nothing on a disk: the platform gives none that
 // survives a node.
 func (b *bench) fleet(size, seats int, f *front, set map[string]any, known message) ([]*fleetNode, error) {
 	var nodes []*fleetNode
@@ -57,7 +57,9 @@
 seeds = [%s]
 allow = ["127.0.0.0/8"]
 period_ms = 1000
-
+`, n.datagrams, strings.Join(addresses, ", "))
+		if seats > 0 {
+			text += fmt.Sprintf(`
 [council]
 seats = [%s]
 absent_s = 600
@@ -69,7 +71,8 @@
 workers = 2
 workers_site = 2
 workers_kind = 2
-`, n.datagrams, strings.Join(addresses, ", "), strings.Join(names, ", "))
+`, strings.Join(names, ", "))
+		}
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
