--- a/review/rig-2/node.go
+++ b/review/rig-2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,6 +33,7 @@
 	config, tmp                      string
 	args                             string
 	env                              []string
+	memory, sockets                  int // limits; 0: 192 MB, 1024 descriptors
 }
 
 // settings are those of a small deployment, in the form of the wire page.
@@ -82,7 +84,7 @@
 func writeConfig(path string, s nodeSetup, settings map[string]any, known message) error {
 	text, err := json.MarshalIndent(map[string]any{
 		"name": s.name, "listen": s.listen, "discovery": s.discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(s.memory, 192), "sockets": cmp.Or(s.sockets, 1024)}, "known": known, "settings": settings,
 	}, "", " ")
 	if err != nil {
 		return err
