--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -73,9 +73,28 @@
 	if err != nil {
 		a.err = err.Error()
 	}
-	c.record.printf("client: answer to %s after %.3f s: %d %q %s", id, a.at.Sub(a.sent).Seconds(), a.status, strings.TrimSpace(a.body), a.err)
+	c.record.printf("client: answer to %s after %.3f s: %d %q %s",
+		id, a.at.Sub(a.sent).Seconds(), a.status, strings.TrimSpace(a.body), a.err)
 	c.mu.Lock()
 	c.answers = append(c.answers, a)
 	c.mu.Unlock()
 	return a
 }
+
+// sendUntilClosed has some clients send jobs one after the other until end is closed.
+func (c *client) sendUntilClosed(end <-chan struct{}, clients, ms int) *sync.WaitGroup {
+	var senders sync.WaitGroup
+	for range clients {
+		senders.Go(func() {
+			for {
+				select {
+				case <-end:
+					return
+				case <-time.After(40 * time.Millisecond):
+					c.send("slot-check", ms, 5*time.Second)
+				}
+			}
+		})
+	}
+	return &senders
+}
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -27,8 +27,8 @@
 	return c.LocalAddr().String()
 }
 
-// fleet sets up nodes of which the first `seats` have a seat in the council; without seats there is none. Seats keep nothing on a disk: the platform gives none that
-// survives a node.
+// fleet sets up nodes of which the first `seats` have a seat in the council; without seats there is none. Seats keep nothing on a disk:
+// the platform gives none that survives a node.
 func (b *bench) fleet(size, seats int, f *front, set map[string]any, known message) ([]*fleetNode, error) {
 	var nodes []*fleetNode
 	var names, addresses []string
@@ -101,8 +101,9 @@
 	c := exec.Command(filepath.Join("bin", "swiftdeal"), args...)
 	c.Dir = root()
 	output, _ := c.CombinedOutput()
-	b.record.printf("operator: swiftdeal %s: exit code %d: %s", strings.Join(args, " "), c.ProcessState.ExitCode(), strings.TrimSpace(string(output)))
-	return c.ProcessState.ExitCode()
+	code := c.ProcessState.ExitCode()
+	b.record.printf("operator: swiftdeal %s: exit code %d: %s", strings.Join(args, " "), code, strings.TrimSpace(string(output)))
+	return code
 }
 
 // drainWorker has the council drain a worker and waits until no node sends anything to it.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -55,7 +55,7 @@
 	b := &bench{record: r, folder: folder, trouble: os.Getenv("TROUBLE") != "0"}
 	r.printf("trouble: %v", b.trouble)
 	done := make(chan int, 1)
-	go func() { done <- play(b) }()
+	go func() { done <- b.finish(play) }()
 	code := notRun
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/review/rig-2/node.go
+++ b/review/rig-2/node.go
@@ -84,7 +84,8 @@
 func writeConfig(path string, s nodeSetup, settings map[string]any, known message) error {
 	text, err := json.MarshalIndent(map[string]any{
 		"name": s.name, "listen": s.listen, "discovery": s.discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(s.memory, 192), "sockets": cmp.Or(s.sockets, 1024)}, "known": known, "settings": settings,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(s.memory, 192), "sockets": cmp.Or(s.sockets, 1024)},
+		"known":  known, "settings": settings,
 	}, "", " ")
 	if err != nil {
 		return err
--- a/review/rig-2/pipeline.go
+++ b/review/rig-2/pipeline.go
@@ -2,142 +2,163 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// jobSpec is a job as a client sends it.
-type jobSpec struct {
-	id, class string
-	ms        int
-	patience  time.Duration
-}
+func init() { cases["pipeline"] = pipeline }
 
-// text is the request.
-func (s jobSpec) text() []byte {
-	body := fmt.Sprintf(`{"ms":%d}`, s.ms)
-	return fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %.3f\r\n"+
-		"Idempotency-Key: key-%s\r\nX-Cost-Hint: %d\r\nX-Extras: slots=1,memory=1\r\nContent-Length: %d\r\n\r\n%s",
-		s.class, s.id, s.patience.Seconds(), s.id, s.ms*1000, len(body), body)
-}
+const (
+	pipelinePatience = 4 * time.Second        // of the clients
+	answerAllowance  = 550 * time.Millisecond // later answers are lost: half a second, and 50 ms as on sockets
+	toldAllowance    = 150 * time.Millisecond // by so much a worker may be told more than the client has left
+)
 
-func init() { cases["pipeline"] = pipeline }
+// pipelineJudge counts the breaks of the rules.
+type pipelineJudge struct {
+	record *record
 
-// pipelined is a request of a client that sends several at once.
-type pipelined struct {
-	id   string
-	sent time.Time
-	end  time.Time // of its client's patience
+	mu         sync.Mutex
+	ends       map[string]time.Time // of the clients' patience
+	late, told int
+	answers    map[int]int
 }
 
-// pipeline: a client keeps four commands under way on its connection. Nothing else happens.
+// pipeline: clients keep four commands under way on their connections. Nothing else happens.
 func pipeline(b *bench) int {
-	const patience = 4 * time.Second
-	d := newDiscovery(b.record)
-	f := b.front(d, "discovery")
-	w1, w2 := b.worker("s-1", 8), b.worker("s-2", 8)
-	d.set(w1.entry("in_service"))
-	d.set(w2.entry("in_service"))
-	s := b.setup("n1", f.addr)
-	set := settings(class("slot-check", "retryable", "all", 2000, 7500, 5000))
-	if err := writeConfig(s.config, s, set, d.full()); err != nil {
-		return notRun
-	}
-	n := b.start(s)
-	if n == nil || !n.awaitYes(s.control, "/-/ready", 10*time.Second) || !n.awaitYes(s.listen, "/ready", 6*time.Second) {
-		return notRun
+	d := b.deploy(2, 8, 2000, 7500)
+	b.startNode(d)
+	judge := &pipelineJudge{record: b.record, ends: map[string]time.Time{}, answers: map[int]int{}}
+	for _, w := range d.workers {
+		w.behave = func(_ http.ResponseWriter, r *http.Request, j *job) bool {
+			judge.attempt(w.id, j.id, r.Header.Get("X-Deadline"))
+			return false
+		}
 	}
 	underWay := 1
 	if b.trouble {
 		underWay = 4
 	}
-	var mu sync.Mutex
-	ends := map[string]time.Time{}
-	late, told, answers := 0, 0, map[int]int{}
-	judge := func(w *worker) {
-		w.behave = func(_ http.ResponseWriter, r *http.Request, j *job) bool {
-			seconds, _ := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
-			mu.Lock()
-			defer mu.Unlock()
-			left := time.Until(ends[j.id]).Seconds()
-			if seconds > left+0.15 {
-				told++
-				b.record.printf("worker %s: %s is told %.3f s, its client has %.3f s left", w.id, j.id, seconds, left)
-			}
-			return false
-		}
-	}
-	judge(w1)
-	judge(w2)
 	stop := time.Now().Add(30 * time.Second)
 	var clients sync.WaitGroup
 	for i := range 3 {
 		clients.Go(func() {
-			serial := 0
-			for time.Now().Before(stop) {
-				conn, err := net.Dial("tcp", s.listen)
-				if err != nil {
-					return
-				}
-				var queue []pipelined
-				send := func() bool {
-					serial++
-					spec := jobSpec{fmt.Sprintf("p%d%05x", i, serial), "slot-check", 30, patience}
-					p := pipelined{spec.id, time.Now(), time.Now().Add(patience)}
-					mu.Lock()
-					ends[p.id] = p.end
-					mu.Unlock()
-					queue = append(queue, p)
-					_, err := conn.Write(spec.text())
-					return err == nil
-				}
-				for range underWay {
-					send()
-				}
-				reader := bufio.NewReader(conn)
-				for len(queue) > 0 {
-					first := queue[0]
-					conn.SetReadDeadline(first.end.Add(3 * time.Second))
-					resp, err := http.ReadResponse(reader, nil)
-					if err != nil {
-						// A close crosses what the node has not read: not judged.
-						if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-							late++
-							b.record.printf("client: no answer to %s 3 s after its time", first.id)
-						} else {
-							b.record.printf("client: connection ended: %v", err)
-						}
-						break
-					}
-					text, _ := io.ReadAll(resp.Body)
-					queue = queue[1:]
-					over := time.Since(first.end)
-					mu.Lock()
-					answers[resp.StatusCode]++
-					if over > 550*time.Millisecond {
-						late++
-					}
-					mu.Unlock()
-					b.record.printf("client: answer to %s after %.3f s, %.3f s beyond its time: %d %q", first.id,
-						time.Since(first.sent).Seconds(), over.Seconds(), resp.StatusCode, strings.TrimSpace(string(text)))
-					if time.Now().Before(stop) && !resp.Close && !send() {
-						break
-					}
-				}
-				conn.Close()
+			p := &pipeliner{judge: judge, name: fmt.Sprint("p", i), node: d.setup.listen}
+			for time.Now().Before(stop) && p.connect(underWay, stop) {
 			}
 		})
 	}
 	clients.Wait()
-	b.record.printf("answers by status: %v; %d later than half a second after their time, %d attempts told more than their client had left", answers, late, told)
-	if late > 0 || told > 0 {
-		return broken
+	b.record.printf("answers by status: %v; %d later than half a second after their time, %d attempts told more than their client had left",
+		judge.answers, judge.late, judge.told)
+	return verdictOf(judge.late + judge.told)
+}
+
+// attempt judges what a worker is told.
+func (p *pipelineJudge) attempt(worker, id, deadline string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	end, ok := p.ends[id]
+	if !ok {
+		return
 	}
-	return held
+	seconds, _ := strconv.ParseFloat(deadline, 64)
+	if left := time.Until(end).Seconds(); seconds > left+toldAllowance.Seconds() {
+		p.told++
+		p.record.printf("worker %s: %s is told %.3f s, its client has %.3f s left", worker, id, seconds, left)
+	}
+}
+
+// answer judges an answer.
+func (p *pipelineJudge) answer(r pipelined, status int, text string) {
+	over := time.Since(r.end)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answers[status]++
+	if over > answerAllowance {
+		p.late++
+	}
+	p.record.printf("client: answer to %s after %.3f s, %.3f s beyond its time: %d %q",
+		r.id, time.Since(r.sent).Seconds(), over.Seconds(), status, strings.TrimSpace(text))
+}
+
+// noAnswer judges the end of a connection. A close may have crossed the request and is not judged.
+func (p *pipelineJudge) noAnswer(r pipelined, err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		p.record.printf("client: connection ended: %v", err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late++
+	p.record.printf("client: no answer to %s 3 s after its time", r.id)
+}
+
+// pipelined is a request of a client that sends several at once.
+type pipelined struct {
+	id   string
+	sent time.Time
+	end  time.Time // of its client's patience
+}
+
+// pipeliner is a client that sends several requests at once.
+type pipeliner struct {
+	judge  *pipelineJudge
+	name   string
+	node   string
+	serial int
+
+	conn  net.Conn
+	queue []pipelined
+}
+
+// connect opens a connection and keeps so many requests under way on it until the given time. It returns false if it cannot connect.
+func (p *pipeliner) connect(underWay int, stop time.Time) bool {
+	conn, err := net.Dial("tcp", p.node)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	p.conn, p.queue = conn, nil
+	for range underWay {
+		p.send()
+	}
+	reader := bufio.NewReader(conn)
+	for len(p.queue) > 0 {
+		first := p.queue[0]
+		conn.SetReadDeadline(first.end.Add(3 * time.Second))
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			p.judge.noAnswer(first, err)
+			return true
+		}
+		text, _ := io.ReadAll(resp.Body)
+		p.queue = p.queue[1:]
+		p.judge.answer(first, resp.StatusCode, string(text))
+		if time.Now().Before(stop) && !resp.Close {
+			p.send()
+		}
+	}
+	return true
+}
+
+// send sends a request.
+func (p *pipeliner) send() {
+	p.serial++
+	spec := jobSpec{fmt.Sprintf("%s%06x", p.name, p.serial), "slot-check", 30, pipelinePatience}
+	now := time.Now()
+	r := pipelined{spec.id, now, now.Add(spec.patience)}
+	p.judge.mu.Lock()
+	p.judge.ends[r.id] = r.end
+	p.judge.mu.Unlock()
+	p.queue = append(p.queue, r)
+	p.conn.Write(spec.text())
 }
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -118,6 +118,11 @@
 		end("turned away, it drains")
 		return
 	}
+	end(w.run(rw, r, number))
+}
+
+// run runs a job, tells of its start and progress, and returns how it ended.
+func (w *worker) run(rw http.ResponseWriter, r *http.Request, number int) (how string) {
 	flusher := rw.(http.Flusher)
 	rw.WriteHeader(http.StatusOK)
 	flusher.Flush()
@@ -129,35 +134,33 @@
 	case w.running <- struct{}{}:
 		defer func() { <-w.running }()
 	case <-r.Context().Done():
-		end("called off before it started")
-		return
+		return "called off before it started"
 	}
 	w.mu.Lock()
 	w.jobs[number].began = time.Now()
+	j := w.jobs[number]
 	w.mu.Unlock()
-	w.record.printf("worker %s: job %s starts", w.id, id)
-	line(`{"id":%q,"from":%q,"state":"started"}`, id, w.id)
+	w.record.printf("worker %s: job %s starts", w.id, j.id)
+	line(`{"id":%q,"from":%q,"state":"started"}`, j.id, w.id)
 	var spec struct {
 		Ms float64 `json:"ms"`
 	}
-	json.Unmarshal(body, &spec)
+	json.Unmarshal([]byte(j.body), &spec)
 	total := time.Duration(spec.Ms * float64(time.Millisecond))
 	done := time.NewTimer(total)
 	defer done.Stop()
 	ticker := time.NewTicker(w.progress)
 	defer ticker.Stop()
-	begun := time.Now()
 	for {
 		select {
 		case <-done.C:
-			line(`{"id":%q,"from":%q,"state":"done","result":%q}`, id, w.id, "result of "+id+" by "+w.id)
-			end("done")
-			return
+			line(`{"id":%q,"from":%q,"state":"done","result":%q}`, j.id, w.id, "result of "+j.id+" by "+w.id)
+			return "done"
 		case <-ticker.C:
-			line(`{"id":%q,"from":%q,"state":"running","share":%.3f}`, id, w.id, min(1, time.Since(begun).Seconds()/total.Seconds()))
+			share := min(1, time.Since(j.began).Seconds()/total.Seconds())
+			line(`{"id":%q,"from":%q,"state":"running","share":%.3f}`, j.id, w.id, share)
 		case <-r.Context().Done():
-			end("called off while it ran")
-			return
+			return "called off while it ran"
 		}
 	}
 }
