Review: addresses of their own for the second review's scripts

Cause: beside twenty other scripts 3 of 24 could not run, as ports at 127.0.0.1 that were free a moment before had been taken. Each script now takes its nodes' addresses at a loopback address of its own.

--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -19,7 +19,7 @@
 
 // freeDatagramAddress returns a loopback address with a UDP port that is free now.
 func freeDatagramAddress() string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp", net.JoinHostPort(loopback(), "0"))
 	if err != nil {
 		return ""
 	}
--- a/review/rig-2/node.go
+++ b/review/rig-2/node.go
@@ -200,9 +200,15 @@
 	return false
 }
 
+// loopback returns a loopback address that other programs do not use: ports at 127.0.0.1 may be taken by any connection.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&63, pid>>8&255, 1+pid&127)
+}
+
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(loopback(), "0"))
 	if err != nil {
 		return ""
 	}
