An empty receive buffer is no sign while the client's system was told of no room

Cause: "all has been read" was concluded 10 ms after the receive buffer was found empty. Where the machine is short of memory for connections, or small packets fill the buffer, the client's system was told of a window too small for its next packet: it holds the rest and the close, and tries again after 0.2, 0.6, 1.4 s. Traced by the kernel's counters (TCPToZeroWindowAdv, TCPWinProbe, TCPMemoryPressures) and by TCP_INFO of both ends.

A client that is read in time is not affected.

--- a/internal/ingress/readmark.go
+++ b/internal/ingress/readmark.go
@@ -103,6 +103,9 @@
 func (c *Conn) socketEmptied() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ahead.backlog.emptiedAt.IsZero() {
+		c.ahead.backlog.emptiedAt = time.Now()
+	}
 	c.settle()
 }
 
--- a/internal/socketreader/conncheck.go
+++ b/internal/socketreader/conncheck.go
@@ -64,6 +64,12 @@
 	return count
 }
 
+// LimitReceiveBuffer sets the size of the receive buffer, which the system otherwise changes by itself. An error is ignored: the size
+// then stays as it is.
+func (r *Reader) LimitReceiveBuffer(bytes int) {
+	r.raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
+}
+
 // connCheck examines the receive buffer without consuming data. An error means that the connection is closed on this
 // side.
 func (r *Reader) connCheck() error {
--- a/internal/socketreader/meminfo.go
+++ b/internal/socketreader/meminfo.go
@@ -1,6 +1,7 @@
 package socketreader
 
 import (
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -32,12 +33,28 @@
 	return ReceiveMemory{fields[memInfoReceived], fields[memInfoDrops]}, known && err == nil
 }
 
-// RoundTrip returns how long a packet and its acknowledgement take, as the system has measured it. known is false if it cannot tell.
-func (r *Reader) RoundTrip() (smoothed time.Duration, known bool) {
+// Path is what the system has measured of the way to the peer.
+type Path struct {
+	RoundTrip     time.Duration // of a packet and its acknowledgement
+	Window        int           // bytes that the peer may send that have not been received, as it was last told
+	LargestPacket int           // bytes of data in one packet from the peer, as far as seen
+}
+
+// windowTold is set once the system has told a window. Those before Linux 6.2 do not.
+var windowTold atomic.Bool
+
+// Path returns what the system has measured of the way to the peer. known is false if it cannot tell.
+func (r *Reader) Path() (path Path, known bool) {
 	err := r.raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			smoothed, known = time.Duration(info.Rtt)*time.Microsecond, true
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		if info.Rcv_wnd > 0 {
+			windowTold.Store(true)
 		}
+		path = Path{time.Duration(info.Rtt) * time.Microsecond, int(info.Rcv_wnd), int(info.Rcv_mss)}
+		known = windowTold.Load()
 	})
-	return smoothed, known && err == nil
+	return path, known && err == nil
 }
