An attempt begins only for a client that was surely there 60 ms before

A client that left meanwhile was not seen: what was known was as old as the wait.

Change: what is known of a client has a time. Checkpoints in its stream tell it also of one that never stops, and an attempt waits again while that time is over 60 ms ago. Connections read one after the other, those for which an attempt waits first, and reading rests for the rest of the node's work. The receive buffer of a client that floods is kept at 128 KiB, since what it holds has to be read first. What a client's system may hold follows this machine's limits (tcp_wmem, wmem_max) in place of a constant 4 MiB.

Tests: ingress.TestReadTurns, TestReadTurnIsWithdrawn, transport.TestAttemptWaitsForReading (a wait that took too long). badclients.TestClientsLeaveBusyNode was red and is off the list.

--- a/internal/ingress/readmark_test.go
+++ b/internal/ingress/checkpoints_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), failureTimeout)
 	defer cancel()
-	conn.AwaitRead(ctx)
+	conn.AwaitRead(ctx, time.Now())
 	if ctx.Err() != nil {
 		t.Fatal("AwaitRead has not returned")
 	}
--- a/internal/ingress/readahead.go
+++ b/internal/ingress/readahead.go
@@ -33,9 +33,15 @@
 
 	received   int64 // bytes
 	backlog    backlog
-	settling   bool       // Conn.settleLater is going to be called
-	marks      []readMark // that reading has not reached yet
-	stopPaying func()     // ends the wait for the pace of reading; nil if reading has not waited yet
+	settling   bool      // Conn.settleLater is going to be called
+	stopPaying func()    // ends the wait for the pace of reading; nil if reading has not waited yet
+	turn       *readTurn // that the connection waits for, or nil
+
+	bufferLimited bool // the receive buffer is
+
+	checkpoints []checkpoint // that reading has not passed yet, the earliest first
+	readUntil   time.Time    // all that the client had sent then has been read
+	waiters     []*readWaiter
 }
 
 // arrival is when a part of the data arrived.
@@ -105,7 +111,7 @@
 // add takes what was received.
 func (a *readAhead) add(received []byte, now time.Time) {
 	a.received += int64(len(received))
-	a.reachMarks(a.received)
+	a.passCheckpoints()
 	a.costUnpaid += readCost(received, a.scanner.end == endKnown)
 	var latest []byte // the latest request, if it came whole
 	for len(received) > 0 && !a.released {
@@ -272,7 +278,7 @@
 	}
 	a.released = true
 	a.freeData()
-	a.reachAllMarks()
+	a.allRead()
 }
 
 // takeRefused returns the requests for which the server has read a stand-in. It may be called on nil.
--- a/internal/ingress/readaheadbudget.go
+++ b/internal/ingress/readaheadbudget.go
@@ -29,6 +29,7 @@
 	refusals *ratelimit.Limiter // of writing refusals
 	requests *ratelimit.Limiter // of requests that came behind an open one
 	refused  atomic.Int64
+	turns    readTurns
 
 	mu        sync.Mutex
 	freeBytes int
--- a/internal/ingress/reader.go
+++ b/internal/ingress/reader.go
@@ -100,8 +100,6 @@
 	controller.SetReadDeadline(time.Time{})
 	if conn := ConnFromRequest(httpRequest); conn != nil && !conn.completeRequest() {
 		return malformed("the connection was closed before the end of the request")
-	} else if conn != nil {
-		conn.awaitReadAtPace(httpRequest.Context())
 	}
 	return nil
 }
--- a/internal/request/context.go
+++ b/internal/request/context.go
@@ -26,8 +26,9 @@
 type Client interface {
 	// State checks the connection.
 	State() ClientState
-	// AwaitRead waits until all that the client had sent when it is called has been read, or ctx ends.
-	AwaitRead(ctx context.Context)
+	// AwaitRead waits until all that the client had sent at some time, not before since, has been read, and returns that time. It returns
+	// the zero time if ctx ends first.
+	AwaitRead(ctx context.Context, since time.Time) (sentBefore time.Time)
 }
 
 // Context is the state of one request in the node. Its fields do not change once the request is admitted; the methods
--- a/internal/testing/badclients/leaving_test.go
+++ b/internal/testing/badclients/leaving_test.go
@@ -22,6 +22,13 @@
 })
 
 func TestMain(m *testing.M) {
+	if address := os.Getenv(crowdAddressVariable); address != "" {
+		if err := playCrowd(address, os.Getenv(crowdPlanVariable)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	code := m.Run()
 	if path, err := program(); err == nil {
 		os.RemoveAll(filepath.Dir(path))
--- a/internal/transport/sendcheck.go
+++ b/internal/transport/sendcheck.go
@@ -32,8 +32,22 @@
 	return invariant.WorkerDraining, s.transport.pool.isInService(s.worker)
 }
 
-// awaitClient waits until the client would be known to have left, if it had when awaitClient is called.
-func (s *sendCheck) awaitClient(ctx context.Context) { s.request.Client.AwaitRead(ctx) }
+const (
+	// maxClientAge is how long before its first byte an attempt's client was surely there. The protocol allows 0.1 s.
+	maxClientAge = 60 * time.Millisecond
+	// awaitedClientAge is how long before a wait the client must have been there for the wait to end at once.
+	awaitedClientAge = maxClientAge / 2
+)
+
+// awaitClient waits until the client would be known to have left, if it had at the time that is returned.
+func (s *sendCheck) awaitClient(ctx context.Context) (thereAt time.Time) {
+	return s.request.Client.AwaitRead(ctx, time.Now().Add(-awaitedClientAge))
+}
+
+// mayHaveLeft reports whether the client may have left for too long without that being known. thereAt is when it was last there.
+func (s *sendCheck) mayHaveLeft(thereAt time.Time) bool {
+	return s.client == request.ClientUnread && time.Since(thereAt) > maxClientAge
+}
 
 // ended reports whether the request has its final answer.
 func (s *sendCheck) ended() bool {
--- a/internal/transport/sendcheck_test.go
+++ b/internal/transport/sendcheck_test.go
@@ -24,7 +24,9 @@
 type disconnectedClient struct{}
 
 func (disconnectedClient) State() request.ClientState { return request.ClientLeft }
-func (disconnectedClient) AwaitRead(context.Context)  {}
+func (disconnectedClient) AwaitRead(context.Context, time.Time) time.Time {
+	return time.Now()
+}
 
 // An attempt whose client has disconnected is suppressed even if the server has not read the end of the client's
 // connection yet.
@@ -48,6 +50,7 @@
 // readingClient is a client of which data is unread. Reading that finds what is behind it.
 type readingClient struct {
 	states []request.ClientState // one after the other; the last one stays
+	ages   []time.Duration       // of what reading finds, likewise
 	waits  int
 }
 
@@ -58,28 +61,42 @@
 	}
 	return state
 }
-func (c *readingClient) AwaitRead(context.Context) { c.waits++ }
 
-// While a client's data is unread, an attempt waits once: it is suppressed if the client has left, and else it is sent.
+func (c *readingClient) AwaitRead(context.Context, time.Time) time.Time {
+	c.waits++
+	age := c.ages[0]
+	if len(c.ages) > 1 {
+		c.ages = c.ages[1:]
+	}
+	return time.Now().Add(-age)
+}
+
+// While a client's data is unread, an attempt waits: it is suppressed if the client has left, and else it is sent. It waits again if
+// reading took so long that the client may have left since.
 func TestAttemptWaitsForReading(t *testing.T) {
+	fresh, old := []time.Duration{0}, []time.Duration{time.Second, 0}
 	for _, c := range []struct {
 		after request.ClientState
+		ages  []time.Duration
+		waits int
 		want  balance.Result
 	}{
-		{request.ClientLeft, balance.Suppressed}, {request.ClientConnected, balance.OK}, {request.ClientUnread, balance.OK},
+		{request.ClientLeft, fresh, 1, balance.Suppressed}, {request.ClientConnected, fresh, 1, balance.OK},
+		{request.ClientUnread, fresh, 1, balance.OK}, {request.ClientUnread, old, 2, balance.OK},
+		{request.ClientConnected, old, 1, balance.OK},
 	} {
 		worker := newScriptedWorker(t)
 		transport, events := newTransport(worker.Addr().String(), nil)
 		defer transport.Close()
-		client := &readingClient{states: []request.ClientState{request.ClientUnread, c.after}}
+		client := &readingClient{states: []request.ClientState{request.ClientUnread, c.after}, ages: c.ages}
 		job := newJob("r")
 		job.Client = client
 		if c.want == balance.OK {
 			worker.answers <- chunkedAnswer(doneLine)
 		}
 		transport.StartAttempt(job, 0, "p", time.Time{})
-		if got := <-events.ends; got.Result != c.want || client.waits != 1 {
-			t.Errorf("then %v: %+v after %d waits, want %v after 1", c.after, got, client.waits, c.want)
+		if got := <-events.ends; got.Result != c.want || client.waits != c.waits {
+			t.Errorf("then %v: %+v after %d waits, want %v after %d", c.after, got, client.waits, c.want, c.waits)
 		}
 	}
 }
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -8,7 +8,6 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/invariant"
-	"swiftdeal/internal/request"
 )
 
 // writePermission is the decision whether the first byte of an exchange may be written to a connection.
@@ -30,10 +29,9 @@
 			x.connectFailed(ctx, err)
 			return nil
 		}
-		permission := x.beginWrite(ctx, c, false)
-		if permission == clientUnread {
-			x.check.awaitClient(ctx)
-			permission = x.beginWrite(ctx, c, true)
+		permission := x.beginWrite(ctx, c, time.Time{})
+		for permission == clientUnread { // again if reading took long: the client may have left meanwhile
+			permission = x.beginWrite(ctx, c, x.check.awaitClient(ctx))
 		}
 		switch permission {
 		case mayWrite:
@@ -71,8 +69,8 @@
 // exchange's connection and marks the exchange as begun. The check covers events since the routing decision, mostly
 // during a dial: the client has disconnected, the worker is draining, the retry window is over, the attempt was
 // canceled, or the worker has closed an idle connection or sent unsolicited data on it, which must not be taken for an
-// answer. With clientRead, what the client has sent has just been read.
-func (x *exchange) beginWrite(ctx context.Context, c *conn, clientRead bool) writePermission {
+// answer. clientThereAt is when the client was surely there.
+func (x *exchange) beginWrite(ctx context.Context, c *conn, clientThereAt time.Time) writePermission {
 	silent := c.connCheck.silent()
 	why, wanted := x.stillWanted(ctx)
 	x.mu.Lock()
@@ -86,7 +84,7 @@
 		}
 		return suppressed
 	}
-	if x.check != nil && x.check.client == request.ClientUnread && !clientRead {
+	if x.check != nil && x.check.mayHaveLeft(clientThereAt) {
 		return clientUnread
 	}
 	if x.check != nil && !x.check.begin() {
