Requests of flooding clients wait for their own backlog, not in others' places

Callers saw: beside 200 clients that flood and leave about half of the usual requests got 503 ("too many open requests", then "too many connections") while workers were idle.

Cause: such a request was admitted at once and decided for a worker. It took one of 128 places of open requests, and its attempt the worker's capacity, for as long as its client's data was read. Connections of clients that had left kept their places until all that they had sent was read: 2.6 to 8 MB each, more than a core parses.

Change: a request whose client has sent unread data is held before it is decided, at a new process too. It does not count as an open request; held ones have a bound in bytes. When no connection has a place, those that have been held longest are refused: the answer ends the connection of a client that has left.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,7 @@
 	mu            sync.Mutex
 	drainDeadline time.Time                 // while the node drains: by when new requests must be answered
 	requests      map[string]*deadlineTimer // of the open requests, by id
+	held          heldRequests              // of requests
 	used          usedIDs
 }
 
@@ -74,6 +75,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.setDeadline(c)
+	switch {
+	case !a.mayBegin(c):
+		return false
+	case a.countedRequests() >= a.limits.OpenRequests:
+		return reject(c, a.tooManyOpen())
+	}
+	a.startTimer(c)
+	return true
+}
+
+// mayBegin reports whether a new request may be admitted, apart from the number of open ones, or answers it; mu is held.
+func (a *Controller) mayBegin(c *request.Context) bool {
 	switch {
 	case a.requests[c.ID] != nil:
 		return reject(c, request.Answer{Verdict: request.Malformed, Reason: idInUse})
@@ -81,12 +94,7 @@
 		return reject(c, request.Answer{Verdict: request.Malformed, Reason: idUsed})
 	case !a.drainDeadline.IsZero() && time.Until(a.drainDeadline) <= a.limits.AnswerMargin: // no time left for an attempt
 		return reject(c, request.Answer{Verdict: request.Rejected, Reason: reasonNodeEnds})
-	case len(a.requests) >= a.limits.OpenRequests:
-		return reject(c, request.Answer{
-			Verdict: request.Rejected, Reason: reasonTooManyOpen, RetryAfter: a.limits.RejectedRetryAfter,
-		})
 	}
-	a.startTimer(c)
 	return true
 }
 
@@ -148,18 +156,21 @@
 	if timer := a.requests[c.ID]; timer != nil {
 		timer.Stop()
 		delete(a.requests, c.ID)
+		if timer.held {
+			a.held.remove(timer.context)
+		}
 		a.rememberID(c)
 	}
 }
 
-// SetCapacity sets the limit of open requests.
-func (a *Controller) SetCapacity(open int) {
+// SetCapacity sets the limit of open requests, and that of held ones in bytes.
+func (a *Controller) SetCapacity(open, heldBytes int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limits.OpenRequests = open
+	a.limits.OpenRequests, a.limits.HeldBytes = open, heldBytes
 }
 
-// OpenRequests returns the number of open requests.
+// OpenRequests returns the number of open requests, held ones among them.
 func (a *Controller) OpenRequests() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/admission/deadline.go
+++ b/internal/admission/deadline.go
@@ -11,6 +11,7 @@
 	*time.Timer
 	at      time.Time
 	context *request.Context
+	held    bool // the request does not count as an open one
 }
 
 // startTimer starts the deadline timer of a request; mu is held. It guards against requests that no part of the node answers:
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -22,6 +22,7 @@
 	ClientConns      int           // connections that are served
 	OverflowConns    int           `check:"SpareConns"` // connections beyond ClientConns, accepted only to reject their requests
 	OpenRequests     int           // concurrent requests
+	HeldBytes        int           // of requests beyond them that wait until what their clients have sent has been read
 	HeaderBytes      int           // size of a message's header, from clients, workers and discovery
 	HeaderFields     int           // header fields of a message
 	HeadReadSlack    int           `check:"HeadSlack"` // bytes that the server may read beyond a header
@@ -121,6 +122,7 @@
 	l.WorkerConns = max(l.WorkerConns/2, 1)
 	l.LongLines = max(l.LongLines/2, 1)
 	l.OpenRequests = max(l.OpenRequests/2, 1)
+	l.HeldBytes /= 2
 	l.ReadAheadBytes /= 2
 	l.BodyMemoryBytes /= 2
 	return l
@@ -149,6 +151,7 @@
 const (
 	clientConnBytes       = 48 << 10  // that a connection takes, with a head and the beginning of a body
 	bodyMemoryShare       = 4         // one part of so many
+	heldMemoryShare       = 16        // one part of so many
 	pipelinedPerCore      = 2000      // a second: a small share of a core
 	readAheadMemoryShare  = 16        // one part of so many
 	readAheadBytesPerCore = 256 << 20 // a second: a small share of a core, and what many clients leave behind within 0.1 s
@@ -309,6 +312,7 @@
 		l.ClientConns = most
 	}
 	l.BodyMemoryBytes = int(l.MemoryBytes / bodyMemoryShare)
+	l.HeldBytes = int(l.MemoryBytes / heldMemoryShare)
 	l.WorkerConns = usable / 2
 	// Each request is counted as 2*BodyBytes, for its body and its result, although a result may be larger (up to LineBytes).
 	// All requests together may take a third of the memory.
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -25,6 +25,8 @@
 	accepted int            // number of connections accepted so far
 	handOff  func(net.Conn) // receives idle connections while another process serves clients; otherwise nil
 	freed    chan struct{}  // capacity 1: signaled when a connection ends or becomes idle
+	// refuseHeld answers up to so many held requests, and returns how many. Connections of clients that have left end then.
+	refuseHeld func(count int) (refused int)
 
 	evicted atomic.Int64 // connections closed by the node to make room for new ones
 	drained atomic.Int64 // connections closed by the node because it drains
@@ -58,6 +60,7 @@
 func newConnTracker(limits config.Limits, invariants *invariant.Monitor) *connTracker {
 	return &connTracker{
 		invariants: invariants, limits: limits, open: map[net.Conn]connState{}, freed: make(chan struct{}, 1),
+		refuseHeld: func(int) int { return 0 },
 		options: &ingress.ConnOptions{
 			MaxHead:       httphead.Limits{Bytes: limits.HeaderBytes + limits.HeadReadSlack, Fields: limits.HeaderFields},
 			MaxBody:       limits.BodyBytes,
@@ -101,8 +104,8 @@
 	if timer, ok := l.Listener.(queueTimer); ok {
 		queued = timer.Waited()
 	}
-	for {
-		conn, retryAfter := tracker.add(clientConn)
+	for refusals := 0; ; refusals++ {
+		conn, retryAfter := tracker.add(clientConn, refusals < maxRefusals)
 		if conn != nil {
 			clientConn.SetArrivalDelay(queued + time.Since(acceptedAt))
 			clientConn.SetHeadTimeout(tracker.limits.HeadTimeout)
@@ -113,9 +116,19 @@
 	}
 }
 
+const (
+	// maxRefusals is how often held requests are refused to make room for one connection.
+	maxRefusals = 3
+	// refusedAtOnce is how many held requests are refused then.
+	refusedAtOnce = 4
+	// refusalTime is how long the connection of a client that has left may take to end after its request was refused.
+	refusalTime = 10 * time.Millisecond
+)
+
 // add registers a connection as open if there is room or another connection can be evicted. It returns the connection
-// that the server is to serve, or nil and the time after which to try again at the latest.
-func (c *connTracker) add(clientConn *ingress.Conn) (conn net.Conn, retryAfter time.Duration) {
+// that the server is to serve, or nil and the time after which to try again at the latest. With refuse, held requests may be
+// refused to make room.
+func (c *connTracker) add(clientConn *ingress.Conn, refuse bool) (conn net.Conn, retryAfter time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn = clientConn
@@ -123,6 +136,8 @@
 		evicted, graceLeft := c.evict()
 		switch {
 		case evicted:
+		case refuse && c.refuseHeld(refusedAtOnce) > 0:
+			return nil, refusalTime
 		case graceLeft > 0:
 			return nil, graceLeft
 		case count < c.limits.ClientConns+c.limits.OverflowConns:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,6 +17,8 @@
 	requestedAt  time.Time          // when an operator requested a drain; zero if none is in progress
 	cancelDrain  context.CancelFunc // cancels the requested drain
 
+	holdsNone chan struct{} // closed once requests are not held any more, as the process will end soon
+
 	late      atomic.Bool // requests read from now on may have no time to be answered
 	finishing atomic.Bool // a successor has taken over, and this process completes what it has
 	resizing  sync.Mutex  // held by resizeAfterHandover
@@ -123,6 +125,7 @@
 	}
 	time.Sleep(limits.DrainGrace)
 	n.admission.SetDrainDeadline(answerDeadline)
+	close(n.drainState.holdsNone)
 	// The front no longer sends new connections to this node, so a rejected request is retried at another one. A SIGKILL
 	// may follow DrainAnswerTimeout.
 	n.dispatcher.ShutdownAt(answerDeadline)
@@ -154,6 +157,7 @@
 func (n *Node) finishAfterHandover(end time.Time) {
 	n.clients.Close()
 	n.drainState.finishing.Store(true)
+	close(n.drainState.holdsNone)
 	n.dispatcher.ShutdownAt(end)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -59,7 +59,7 @@
 	n.connections.resize(l)
 	n.transport.Resize(l.WorkerConns)
 	n.transport.SetLongLines(l.LongLines)
-	n.setOpenRequests(l.OpenRequests)
+	n.setOpenRequests(l)
 	if n.machine.SetMemoryLimit != nil {
 		n.machine.SetMemoryLimit(l.MemoryBytes)
 	}
@@ -68,11 +68,11 @@
 // applyLimits applies the limits derived from changed settings.
 func (n *Node) applyLimits(to config.Limits) {
 	n.limitsInForce.apply(to, n.limits.ClientConns)
-	n.setOpenRequests(n.limitsInForce.current().OpenRequests)
+	n.setOpenRequests(n.limitsInForce.current())
 }
 
-// setOpenRequests sets how many requests may be open, and how many may wait for their first decision.
-func (n *Node) setOpenRequests(requests int) {
-	n.admission.SetCapacity(requests)
-	n.dispatcher.SetMaxUnhandled(requests)
+// setOpenRequests sets how many requests may be open, held, and waiting for their first decision.
+func (n *Node) setOpenRequests(l config.Limits) {
+	n.admission.SetCapacity(l.OpenRequests, l.HeldBytes)
+	n.dispatcher.SetMaxUnhandled(l.OpenRequests)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -19,6 +19,8 @@
 	violations[invariant.SlowStart].Value += n.dispatcher.SlowStartViolations()
 	list = append(list,
 		control.Scalar("gw_in_flight", "Jobs taken and not ended.", true, int64(n.admission.OpenRequests())),
+		control.Scalar("gw_requests_held", "Jobs taken that wait until what their clients have sent is read.", true,
+			int64(n.admission.HeldRequests())),
 		control.Scalar("gw_workers_known", "Workers in the list.", true, known),
 		control.Scalar("gw_workers_excluded", "Listed workers that no job is sent to at present.", true, excluded),
 		control.Scalar("gw_accept_failures", "Calls of accept that failed and were made again.", false, n.acceptFailures.Load()),
--- a/internal/node/migration.go
+++ b/internal/node/migration.go
@@ -163,11 +163,15 @@
 	c := h.importContext(open, clocks)
 	client := ingress.ResumeConn(conns[0], h.node.connections.options, open.ReadAhead, !open.CloseAfterAnswer)
 	c.Client = client
+	r := &openRequest{Context: c, client: client, disconnected: client.Disconnected(), closeAfterAnswer: open.CloseAfterAnswer}
 	h.transfers.begin()
 	started := h.run(conns[0], func() {
-		admitted := h.resume(c, open, conns)
+		r.admitted = h.admitImported(r, open, conns)
 		h.transfers.end()
-		h.node.serveMigrated(c, client, admitted, open.CloseAfterAnswer)
+		if r.admitted && (open.WorkerID != "" || !r.clientUnread() || h.node.holdImported(r)) {
+			h.resume(c, open, conns)
+		}
+		h.node.serveMigrated(r)
 	})
 	if !started {
 		h.transfers.end()
@@ -203,20 +207,24 @@
 	return c
 }
 
-// resume passes an imported request to the dispatcher, and its attempt in flight to the transport. It reports whether the
-// request was admitted; otherwise the request has been answered.
-func (h *processHandover) resume(c *request.Context, open *handover.OpenRequest, conns []net.Conn) (admitted bool) {
+// admitImported reports whether an imported request was admitted. Otherwise it has been answered.
+func (h *processHandover) admitImported(r *openRequest, open *handover.OpenRequest, conns []net.Conn) (admitted bool) {
 	var err error
-	if c.Class, err = h.node.settings.classIndex(open.Class); err != nil {
-		c.Finish(request.Answer{Verdict: request.Failed, Reason: err.Error()})
+	if r.Class, err = h.node.settings.classIndex(open.Class); err != nil {
+		r.Finish(request.Answer{Verdict: request.Failed, Reason: err.Error()})
 	}
-	if err != nil || !h.node.admission.AdmitImported(c) {
+	if err != nil || !h.node.admission.AdmitImported(r.Context) {
 		if open.WorkerID != "" {
 			conns[1].Close()
 		}
 		return false
 	}
 	h.node.requestAdmitted()
+	return true
+}
+
+// resume passes an imported request to the dispatcher, and its attempt in flight to the transport.
+func (h *processHandover) resume(c *request.Context, open *handover.OpenRequest, conns []net.Conn) {
 	var attempt func() func()
 	if open.WorkerID != "" {
 		attempt = func() func() {
@@ -225,7 +233,6 @@
 		}
 	}
 	h.node.dispatcher.ImportRequest(c, open.State, open.Attempt, attempt)
-	return true
 }
 
 // localTime converts a time of another process. It uses the machine's monotonic clock, or the wall clock if the other
@@ -239,11 +246,9 @@
 
 // serveMigrated waits for the answer to an imported request and sends it to the client. The connection is then passed to
 // the HTTP server, unless it closes after the response.
-func (n *Node) serveMigrated(c *request.Context, client *ingress.Conn, admitted, closeAfterAnswer bool) {
-	open := openRequest{
-		Context: c, client: client, disconnected: client.Disconnected(), admitted: admitted, closeAfterAnswer: closeAfterAnswer,
-	}
-	if !n.awaitAnswer(&open) {
+func (n *Node) serveMigrated(open *openRequest) {
+	c, client, admitted, closeAfterAnswer := open.Context, open.client, open.admitted, open.closeAfterAnswer
+	if !n.awaitAnswer(open) {
 		n.requestDone(c, true) // migrated on to the next process
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	limitsInForce limitsInForce
 	settings      settingsInForce
 	drainState    drainState
+	held          heldRequests
 	handover      *processHandover // nil if this process neither replaces one nor can be replaced
 	fleet         *fleetMember     // nil if the node is not a member of a fleet
 	fleetSettings *fleetSettings   // nil if there are no fleet-wide settings
@@ -139,7 +140,8 @@
 	dispatcher.SetMaxUnhandled(c.Limits.OpenRequests)
 	monitor := invariant.NewMonitor(log)
 	n := &Node{
-		config: c, limits: c.Limits, machine: machine, log: log,
+		drainState: drainState{holdsNone: make(chan struct{})},
+		config:     c, limits: c.Limits, machine: machine, log: log,
 		stages: stages{
 			ingress:    ingress.New(c.Limits),
 			admission:  admission.New(c.Limits, c.Settings.Balance.Classes, dispatcher.ClientGone),
@@ -155,6 +157,7 @@
 		readyBy:       time.Now().Add(c.Limits.ReadyTimeout),
 	}
 	n.connections.options.EvictionAnswer = n.evictionAnswer
+	n.connections.refuseHeld = func(count int) int { return n.held.refuse(count, n.noConnectionAnswer()) }
 	n.accounting.SetObjectives(c.Settings.Balance.Classes)
 	n.fleet = newFleetMember(n, machine, c, log)
 	n.fleetSettings = newFleetSettings(c)
--- a/internal/node/refused.go
+++ b/internal/node/refused.go
@@ -50,6 +50,11 @@
 
 // evictionAnswer returns the answer to a request whose connection is evicted before the request has been received whole.
 func (n *Node) evictionAnswer() []byte {
-	answer := request.Answer{Verdict: request.Rejected, Reason: "too many connections", RetryAfter: n.limits.RejectedRetryAfter}
-	return n.renderAnswer(answer, true)
+	return n.renderAnswer(n.noConnectionAnswer(), true)
+}
+
+// noConnectionAnswer returns the answer to a request that has to make room for another client's connection, or whose connection is
+// beyond the limit.
+func (n *Node) noConnectionAnswer() request.Answer {
+	return request.Answer{Verdict: request.Rejected, Reason: "too many connections", RetryAfter: n.limits.RejectedRetryAfter}
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -42,18 +42,17 @@
 	}
 	c := n.ingress.Read(w, r)
 	overflow := n.connections.isOverflow(r.Context())
-	admitted := n.admit(c, overflow)
 	open := openRequest{
 		Context:          c,
 		writer:           w,
 		client:           ingress.ConnFromRequest(r),
 		requestCtxDone:   r.Context().Done(),
-		admitted:         admitted,
 		closeAfterAnswer: overflow || r.ContentLength < 0 || r.Close || !r.ProtoAtLeast(1, 1),
 	}
 	if open.client != nil {
 		open.disconnected = open.client.Disconnected()
 	}
+	open.admitted = n.admit(&open, overflow)
 	if !n.awaitAnswer(&open) {
 		n.requestDone(c, true)
 		return
@@ -79,8 +78,9 @@
 	c.Release()
 }
 
-// admit passes a request to the dispatcher and reports whether it did. Otherwise the request has been answered.
-func (n *Node) admit(c *request.Context, overflow bool) bool {
+// admit passes a request to the dispatcher and reports whether it was admitted. Otherwise the request has been answered.
+func (n *Node) admit(r *openRequest, overflow bool) bool {
+	c := r.Context
 	_, drainedFor := n.drainState.draining()
 	select {
 	case <-c.Done(): // already answered by ingress
@@ -93,19 +93,25 @@
 	}
 	if overflow {
 		// Guards against running out of file descriptors: a client beyond the limit gets a response instead of a reset.
-		c.Finish(request.Answer{Verdict: request.Rejected, Reason: "too many connections", RetryAfter: n.limits.RejectedRetryAfter})
+		c.Finish(n.noConnectionAnswer())
 		return false
 	}
+	if r.clientUnread() {
+		return n.admitHeld(r)
+	}
 	if !n.admission.Admit(c) {
 		return false
 	}
 	n.requestAdmitted()
+	n.submit(c)
+	return true
+}
+
+// submit passes an admitted request to the dispatcher, or answers it.
+func (n *Node) submit(c *request.Context) {
 	if !n.dispatcher.Submit(c) {
-		n.admission.Release(c)
 		c.Finish(request.Answer{Verdict: request.Rejected, Reason: "too many requests wait", RetryAfter: n.limits.RejectedRetryAfter})
-		return false
 	}
-	return true
 }
 
 // closesConns reports whether client connections are closed after their next response: the node drains, and no successor
