Ask the system for unread data only where a client has sent ahead before

Change: the check asks the system only if something came behind this request, or an earlier one on its connection. A flood that comes later is met by the check before the attempt. The request does not escape to the heap.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -130,6 +130,15 @@
 	return request.ClientConnected
 }
 
+// HasUnread reports whether the client has sent something behind its request that has not been read. It asks the system only if something
+// came behind this request, or an earlier one, before: it may miss what has just come.
+func (c *Conn) HasUnread() bool {
+	c.mu.Lock()
+	sentAhead := c.ahead != nil || !c.head.empty()
+	c.mu.Unlock()
+	return sentAhead && c.State() == request.ClientUnread
+}
+
 // peerState checks the socket. The caller holds mu.
 func (c *Conn) peerState() socketreader.PeerState {
 	if !c.isSocket {
--- a/internal/node/held_requests.go
+++ b/internal/node/held_requests.go
@@ -49,9 +49,10 @@
 	return refused
 }
 
-// clientUnread reports whether the client has sent what has not been read yet.
+// clientUnread reports whether the client has sent what has not been read yet, as far as that is known without asking the system for each
+// request.
 func (r *openRequest) clientUnread() bool {
-	return r.client != nil && r.client.State() == request.ClientUnread
+	return r.client != nil && r.client.HasUnread()
 }
 
 // admitHeld admits a request, holds it while its client may have left, and then passes it to the dispatcher. It reports whether the
@@ -80,17 +81,18 @@
 	defer n.held.remove(r.Context)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	c, disconnected, requestCtxDone := r.Context, r.disconnected, r.requestCtxDone // r does not escape to the heap
 	go func() {
 		defer stop()
-		n.awaitHoldEnd(ctx, r)
+		n.awaitHoldEnd(ctx, c, disconnected, requestCtxDone)
 	}()
 	r.client.AwaitTurnToRead(ctx, time.Now())
 	select {
-	case <-r.Done():
+	case <-c.Done():
 		return false
-	case <-r.disconnected:
+	case <-disconnected:
 		return false
-	case <-r.requestCtxDone:
+	case <-requestCtxDone:
 		return false
 	default:
 		return true
@@ -99,11 +101,11 @@
 
 // awaitHoldEnd waits until a request cannot be held any longer: it has been answered, its client has left, or another process or the
 // end of this one needs it to be known to the dispatcher. It returns when ctx ends, too.
-func (n *Node) awaitHoldEnd(ctx context.Context, r *openRequest) {
+func (n *Node) awaitHoldEnd(ctx context.Context, c *request.Context, disconnected, requestCtxDone <-chan struct{}) {
 	select {
-	case <-r.Done():
-	case <-r.disconnected:
-	case <-r.requestCtxDone:
+	case <-c.Done():
+	case <-disconnected:
+	case <-requestCtxDone:
 	case <-n.handover.migrations():
 	case <-n.drainState.holdsNone:
 	case <-ctx.Done():
