A client that is read in time does not wait as if its system held data back

Cause: 512 KiB more than 2 MiB a second made an empty receive buffer count only after 0.5 s without data, however roomy the buffer had been all the time. Attempts of such clients waited without end, and the balancer took the workers for slow to start.

Change: only reads from a nearly full buffer count, and data that comes to an empty buffer ends the wait, as the client's system knows of the room then.

--- a/internal/ingress/backlog.go
+++ b/internal/ingress/backlog.go
@@ -31,7 +31,7 @@
 	until       time.Time
 	resentUntil time.Time // dropped packets are sent again by then; zero once data has come since
 	drops       uint32    // packets of the connection that were dropped so far
-	excess      int       // bytes that were read beyond usualBytesPerSecond
+	excess      int       // bytes that were read from a nearly full receive buffer, beyond usualBytesPerSecond
 	emptiedAt   time.Time // when the receive buffer was found empty; zero if data has come since
 }
 
@@ -42,13 +42,17 @@
 	}
 }
 
-// addExcess records that bytes were read. The time in which the receive buffer was empty counts in the client's favor.
-func (b *backlog) addExcess(bytes int, now time.Time) {
-	if !b.emptiedAt.IsZero() {
-		b.excess = max(0, b.excess-int(now.Sub(b.emptiedAt).Seconds()*usualBytesPerSecond))
-		b.emptiedAt = time.Time{}
+// dataCame records that data has come. Where the receive buffer had been found empty before, the client's system knows of the room there is.
+func (b *backlog) dataCame(now time.Time) {
+	b.resentUntil = time.Time{}
+	if b.emptiedAt.IsZero() {
+		return
+	}
+	b.excess = max(0, b.excess-int(now.Sub(b.emptiedAt).Seconds()*usualBytesPerSecond))
+	b.emptiedAt = time.Time{}
+	if soon := now.Add(windowUpdateTime); b.until.After(soon) {
+		b.until = soon
 	}
-	b.excess += bytes
 }
 
 // observeBacklog records that a read behind the open request returned that many bytes. The caller holds mu.
@@ -56,11 +60,7 @@
 	if bytes == 0 {
 		return
 	}
-	c.ahead.backlog.resentUntil = time.Time{}
-	if c.ahead.backlog.addExcess(bytes, now); c.ahead.backlog.excess > floodBytes {
-		c.ahead.backlog.extend(now.Add(floodSettleTime))
-		return
-	}
+	c.ahead.backlog.dataCame(now)
 	if bytes < backlogBytes {
 		return
 	}
@@ -73,7 +73,12 @@
 	if known && path.Window > windowParts*(bytes+c.reader.UnreadBytes()) {
 		return
 	}
-	c.ahead.backlog.extend(now.Add(windowUpdateTime + 2*path.RoundTrip))
+	c.ahead.backlog.excess += bytes
+	if c.ahead.backlog.excess > floodBytes {
+		c.ahead.backlog.extend(now.Add(floodSettleTime))
+	} else {
+		c.ahead.backlog.extend(now.Add(windowUpdateTime + 2*path.RoundTrip))
+	}
 }
 
 // observeDrops records whether packets have been dropped, and returns how much of those that came after a lost one the system holds if
