--- a/internal/ingress/backlog.go
+++ b/internal/ingress/backlog.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// dataCame records that data has come. Where the receive buffer had been found empty before, the client's system knows of the room there is.
+// dataCame records that data has come. If the receive buffer had been found empty before, the client's system knows of the room there is.
 func (b *backlog) dataCame(now time.Time) {
 	b.resentUntil = time.Time{}
 	if b.emptiedAt.IsZero() {
