Discovery: call the other address that is configured where nobody answers at the first

Cause: at a start GW_DISCOVERY goes before the file, and the variable is that of the first start. Only the process that got the signal knew that it is out of date. The variable cannot simply lose its place: where nothing was moved, the file may name an address where nobody is. Evidence: the new process's calls go to the old address again and again, all refused; GW_DISCOVERY and the file differ in both situations, so that nothing but calling tells them apart. Change: config.DiscoveryAddresses holds what a process was given (variable, key of the file, what reloads did), and the order of calls. A call tries one address after the other until one answers, and begins with the one that answered last. A reload that changes the file's address leaves that one alone, as before; one that does not change it keeps the variable's as a second address.

--- a/cmd/swiftdeal/check.go
+++ b/cmd/swiftdeal/check.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	fmt.Printf("%s: listen %s, discovery %s, %d peers known, %d classes\n%v\n",
-		c.Name, c.Listen, c.Discovery, len(c.CachedEndpoints.Endpoints), len(c.Settings.Balance.Classes), c.Limits)
+		c.Name, c.Listen, c.Discovery.Preferred(), len(c.CachedEndpoints.Endpoints), len(c.Settings.Balance.Classes), c.Limits)
 	if k.Fleet == "" {
 		return nil
 	}
--- a/cmd/swiftdeal/main_test.go
+++ b/cmd/swiftdeal/main_test.go
@@ -33,10 +33,10 @@
 		close(reloads)
 		return <-reloads
 	}
-	if r := reload(configText); r.Err != nil || r.Config.Discovery != "127.0.0.1:1" {
+	if r := reload(configText); r.Err != nil || r.Config.Discovery.Preferred() != "127.0.0.1:1" {
 		t.Errorf("reloaded %+v", r)
 	}
-	if c, err := config.Load(os.Getenv, os.ReadFile); err != nil || c.Discovery != "127.0.0.1:2" {
+	if c, err := config.Load(os.Getenv, os.ReadFile); err != nil || c.Discovery.Preferred() != "127.0.0.1:2" {
 		t.Errorf("at a start: %+v, %v", c, err)
 	}
 	if r := reload(strings.Replace(configText, `"retryable"`, `"odd"`, 1)); r.Err == nil || !strings.Contains(r.Err.Error(), "profiles[0].effect") {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,5 @@
 // Package config loads and validates a node's configuration and fills in defaults. It reads the GW_ environment variables
-// and the file that GW_CONFIG names (file.go), derives resource limits and timeouts from them (limits.go), and reads the
+// and the file that GW_CONFIG names (file.go, discovery.go), derives resource limits and timeouts from them (limits.go), and reads the
 // fleet file (fleet.go, fleet_file.go), settings for a whole fleet (overlay.go) and rollout plans (plan.go). Errors name the
 // faulty key, and the file and line where those are known (errors.go).
 package config
@@ -19,7 +19,7 @@
 	Name            string
 	Listen          string // address for client connections
 	Control         string // address for operators' calls; empty: no control listener
-	Discovery       string // address of the discovery service
+	Discovery       DiscoveryAddresses
 	Seed            uint64
 	CachedEndpoints EndpointList // last endpoint list known to this node, possibly stale
 	Settings        settings.Settings
@@ -58,8 +58,8 @@
 
 // DescribeChanges describes what takes effect at once when a node that runs with this configuration reloads next.
 func (c *Config) DescribeChanges(next *Config) (changes []string) {
-	if c.Discovery != next.Discovery {
-		changes = append(changes, fmt.Sprintf("discovery is %s, was %s", next.Discovery, c.Discovery))
+	if from, to := c.Discovery.Preferred(), next.Discovery.Preferred(); from != to {
+		changes = append(changes, fmt.Sprintf("discovery is %s, was %s", to, from))
 	}
 	before, after := c.Settings.Balance, next.Settings.Balance
 	changes = append(changes, describeClassChanges(before.Classes, after.Classes)...)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Listen != "127.0.0.2:1" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 {
+	if c.Listen != "127.0.0.2:1" || c.Discovery.Preferred() != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 {
 		t.Errorf("%+v", c)
 	}
 	if w := c.CachedEndpoints.Workers(); len(w) != 1 || w[0].Cell != "3" || w[0].Status != balance.Ready ||
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -42,8 +42,8 @@
 	return load(getenv, open, false)
 }
 
-// Reload reads the file again for a running node. The file's discovery key overrides the environment variable here: the
-// variable cannot change while the process runs, so a new address in the file could otherwise never take effect.
+// Reload reads the file again for a running node. The file's discovery key has precedence over the environment variable here:
+// the variable cannot change while the process runs, so a new address in the file could otherwise never take effect.
 //
 // The file must be complete. A key that the running configuration's file has may not be missing, because its default would
 // then silently replace the operator's value, and each class must have all of its required keys.
@@ -86,8 +86,8 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, keyError("GW_CONFIG", &FileError{Path: path, Err: err})
 	}
-	f.applyEnv(getenv, reload)
-	c, err := f.toConfig()
+	f.applyEnv(getenv)
+	c, err := f.toConfig(f.discoveryAddresses(getenv("GW_DISCOVERY"), reload))
 	if err != nil {
 		return nil, err
 	}
@@ -97,9 +97,9 @@
 	return c, nil
 }
 
-// applyEnv overrides the file's keys with the environment variables that are set. On a reload the discovery variable applies
-// only if the file has no such key.
-func (f *configFile) applyEnv(getenv func(string) string, reload bool) {
+// applyEnv overrides the file's keys with the environment variables that are set, except for discovery, see
+// discoveryAddresses.
+func (f *configFile) applyEnv(getenv func(string) string) {
 	override := func(key *string, variable string) {
 		if value := getenv(variable); value != "" {
 			*key = value
@@ -108,9 +108,16 @@
 	override(&f.Name, "GW_NAME")
 	override(&f.Listen, "GW_LISTEN")
 	override(&f.Control, "GW_CONTROL")
-	if !reload || f.Discovery == "" {
-		override(&f.Discovery, "GW_DISCOVERY")
-	}
+}
+
+// discoveryAddresses returns the addresses of discovery that the file and the environment variable name. At a start, the key
+// of the file may be invalid if the variable is set.
+func (f *configFile) discoveryAddresses(variable string, reload bool) DiscoveryAddresses {
+	addresses := DiscoveryAddresses{Environment: variable, File: f.Discovery, Reloaded: reload}
+	if !reload && variable != "" && checkAddress(f.Discovery) != nil {
+		addresses.File = ""
+	}
+	return addresses
 }
 
 // collectKeys adds to keys the paths, in lower case, of the keys of a JSON object that have a field in form. It does not
@@ -134,16 +141,16 @@
 }
 
 // toConfig validates the file and converts it to a Config.
-func (f *configFile) toConfig() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Control: f.Control, Discovery: f.Discovery}
+func (f *configFile) toConfig(discovery DiscoveryAddresses) (*Config, error) {
+	c := &Config{Name: f.Name, Listen: f.Listen, Control: f.Control, Discovery: discovery}
 	if c.Name == "" {
 		c.Name = defaultName
 	}
 	if err := checkAddress(c.Listen); err != nil {
 		return nil, keyError("listen", err)
 	}
-	if err := checkAddress(c.Discovery); err != nil {
-		return nil, keyError("discovery", err)
+	if err := c.Discovery.Validate(); err != nil {
+		return nil, err
 	}
 	if c.Control != "" {
 		if err := checkAddress(c.Control); err != nil {
--- a/internal/config/form_test.go
+++ b/internal/config/form_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Name != "n7" || c.Listen != "127.0.0.1:8080" || c.Control != "127.0.0.1:8081" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+	if c.Name != "n7" || c.Listen != "127.0.0.1:8080" || c.Control != "127.0.0.1:8081" || c.Discovery.Preferred() != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
 		c.platformLimits != (platformLimits{Cores: 2.5, MemoryMB: 200, Sockets: 1000}) || c.Settings.MaxOpenRequests != 222 || c.Settings.Balance.Classes[0].Name != "job" {
 		t.Errorf("%+v", c)
 	}
@@ -47,7 +47,7 @@
 	}
 	variables := map[string]string{"GW_CONFIG": "testdata/config.json", "GW_NAME": "n8", "GW_LISTEN": "127.0.0.1:1", "GW_CONTROL": "127.0.0.1:2", "GW_DISCOVERY": "127.0.0.1:3"}
 	c, err = Load(func(k string) string { return variables[k] }, os.ReadFile)
-	if err != nil || c.Name != "n8" || c.Listen != "127.0.0.1:1" || c.Control != "127.0.0.1:2" || c.Discovery != "127.0.0.1:3" {
+	if err != nil || c.Name != "n8" || c.Listen != "127.0.0.1:1" || c.Control != "127.0.0.1:2" || c.Discovery.Preferred() != "127.0.0.1:3" {
 		t.Errorf("by variables: %+v, %v", c, err)
 	}
 	f, err := LoadFleet("testdata/fleet.toml", os.ReadFile)
--- a/internal/discovery/address_test.go
+++ b/internal/discovery/address_test.go
@@ -47,7 +47,7 @@
 		t.Fatalf("%+v", got)
 	}
 	for range 4 {
-		c.SetAddress(ln.Addr().String())
+		c.SetAddresses([]string{ln.Addr().String()})
 		c.Watch()
 	}
 	second := s.nextCall(t)
@@ -72,3 +72,40 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a start after which nothing is heard from discovery, because the first address that the process was given is out
+// of date. The address that has answered is called first from then on, and a call that no address answers fails once.
+func TestNextAddressWhereNobodyAnswers(t *testing.T) {
+	busy, busyCalled := serveOnce(t, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	live := scriptedServer{ln}
+	c, e := newClient(busy, time.Minute)
+	defer c.Close()
+	c.SetAddresses([]string{busy, "127.0.0.1:1", ln.Addr().String()})
+	c.Watch()
+	<-busyCalled
+	watch := live.nextCall(t)
+	fmt.Fprint(watch, chunks(`{"version":42,"full":true,"servers":[]}`))
+	if got := <-e; got.kind != balance.FullUpdate || got.group.Version != 42 {
+		t.Fatalf("%+v", got)
+	}
+	watch.Close()
+	if got := <-e; got.kind != balance.FailedUpdate {
+		t.Errorf("%+v", got)
+	}
+	c.SetAddresses([]string{ln.Addr().String(), busy}) // a reload: the calls in progress continue
+	c.Watch()
+	fmt.Fprint(live.nextCall(t), chunks(`{"version":43,"full":false,"servers":[]}`))
+	if got := <-e; got.group.Version != 43 {
+		t.Errorf("%+v", got)
+	}
+	c, e = newClient("127.0.0.1:1", time.Minute)
+	c.SetAddresses([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	c.Watch()
+	if got := <-e; got.kind != balance.FailedUpdate || len(e) != 0 {
+		t.Errorf("%+v and %d more", got, len(e))
+	}
+}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -17,15 +17,18 @@
 	path   string
 	ctx    context.Context // once it has ended, results of the call are discarded
 	cancel func()          // ends a watch
+
+	address  string // that is being called; set by the call's goroutine
+	answered bool   // by a message or a heartbeat; guarded by Client.mu
 }
 
 // readAnswer reads the answer to a call. It returns nil if the answer was read to its end.
 type readAnswer func(from *call, conn net.Conn, body io.Reader) error
 
-// exchange makes one call and reads its answer.
-func (c *Client) exchange(made *call, addr string, read readAnswer) error {
-	start := time.Now()
-	conn, err := c.dial(made.ctx, addr, c.limits.DiscoveryTimeout, made.path)
+// exchange makes one call to made.address and reads its answer. Connecting takes at most connectTimeout.
+func (c *Client) exchange(made *call, connectTimeout time.Duration, read readAnswer) error {
+	start, addr := time.Now(), made.address
+	conn, err := c.dial(made.ctx, addr, connectTimeout, made.path)
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -1,11 +1,12 @@
 // Package discovery is the client of the discovery service: it fetches the endpoint list or watches it for changes, and passes
-// updates to a Handler. Files: client (the calls in progress, and which messages are applied), call (one call over a connection),
-// watch (reading a watch), errors.
+// updates to a Handler. Files: client (the calls in progress, and which messages are applied), addresses (which address is
+// called), call (one call over a connection), watch (reading a watch), errors.
 package discovery
 
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,24 +37,28 @@
 	limits     config.Limits
 	dial       platform.Dial
 	handler    Handler
+	log        *slog.Logger
 	updatePace *ratelimit.Limiter // of messages and heartbeats
 	dropped    atomic.Int64       // entries of workers for which the list had no room
 
 	mu           sync.Mutex
-	addr         string
+	addresses    *addressList
 	version      int64     // of the last message
 	listSize     *listSize // of the list that the messages add up to
 	lastHeard    time.Time // when the last message or heartbeat was received; zero: none yet
 	currentWatch *call     // the active watch; nil: none
 	pendingWatch *call     // replaces currentWatch on its first message or heartbeat; nil: none
 
-	addressContext context.Context // ends when the address of discovery changes
+	addressContext context.Context // ends when the calls in progress are to end because discovery has moved
 	cancelAddress  func()
 }
 
-// New returns a client that starts from the given version of the endpoint list.
-func New(l config.Limits, dial platform.Dial, addr string, version int64, handler Handler) *Client {
-	c := &Client{limits: l, dial: dial, addr: addr, version: version, handler: handler}
+// New returns a client that starts from the given version of the endpoint list. The addresses of discovery, at least one, are
+// in order of preference: a later one is called only if an earlier one does not answer.
+func New(
+	l config.Limits, dial platform.Dial, addresses []string, version int64, handler Handler, log *slog.Logger,
+) *Client {
+	c := &Client{limits: l, dial: dial, addresses: newAddressList(addresses), version: version, handler: handler, log: log}
 	c.listSize = newListSize(l.EndpointListBytes)
 	c.updatePace = ratelimit.New(l.ListUpdatesPerSecond, l.ListUpdateBurst)
 	c.addressContext, c.cancelAddress = context.WithCancel(context.Background())
@@ -66,17 +71,17 @@
 // DroppedEndpoints returns how many entries were left out because the list had no room for their workers.
 func (c *Client) DroppedEndpoints() int64 { return c.dropped.Load() }
 
-// SetAddress sets the address of discovery. It ends calls to the old address and discards their results: a late message of the
-// old address must not undo an update from the new one. The version is kept, so that the next watch delivers the changes missed
-// in between. If the address is unchanged, calls continue.
-func (c *Client) SetAddress(addr string) {
+// SetAddresses sets the addresses of discovery, in order of preference. If the preferred one changes, it ends the calls in
+// progress and discards their results: a late message of the old address must not undo an update from the new one. The version
+// is kept, so that the next watch delivers the changes missed in between.
+func (c *Client) SetAddresses(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if addr == c.addr {
+	if !c.addresses.replace(addresses) {
 		return
 	}
 	c.cancelAddress()
-	c.addr, c.currentWatch, c.pendingWatch = addr, nil, nil
+	c.currentWatch, c.pendingWatch = nil, nil
 	c.addressContext, c.cancelAddress = context.WithCancel(context.Background())
 }
 
@@ -100,20 +105,20 @@
 	watch := &call{path: fmt.Sprintf(watchPath, c.version)}
 	watch.ctx, watch.cancel = context.WithCancel(c.addressContext)
 	c.pendingWatch = watch
-	go c.run(watch, c.addr, c.readWatch)
+	go c.run(watch, c.addresses.order(), c.readWatch)
 }
 
 // Fetch requests the full endpoint list once.
 func (c *Client) Fetch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	go c.run(&call{path: listPath, ctx: c.addressContext}, c.addr, c.readList)
+	go c.run(&call{path: listPath, ctx: c.addressContext}, c.addresses.order(), c.readList)
 }
 
 // run makes one call. The failure of a watch for which a replacement is pending is not reported: if discovery is unavailable, the
 // failure of the replacement is.
-func (c *Client) run(made *call, addr string, read readAnswer) {
-	err := c.exchange(made, addr, read)
+func (c *Client) run(made *call, addresses []string, read readAnswer) {
+	err := c.tryAddresses(made, addresses, read)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	replaced := made == c.currentWatch && c.pendingWatch != nil
@@ -134,10 +139,19 @@
 	defer c.mu.Unlock()
 	if from.ctx.Err() == nil {
 		c.lastHeard = time.Now()
-		c.promoteWatch(from)
+		c.answered(from)
 	}
 }
 
+// answered records that discovery has answered a call; mu is held.
+func (c *Client) answered(made *call) {
+	made.answered = true
+	if was := c.addresses.preferred; c.addresses.prefer(made.address) {
+		c.log.Info("discovery answers at another address", "discovery", made.address, "was", was)
+	}
+	c.promoteWatch(made)
+}
+
 // promoteWatch makes a pending watch the current one, on its first message or heartbeat, and ends the one before; mu is held.
 func (c *Client) promoteWatch(watch *call) {
 	if watch != c.pendingWatch {
@@ -166,7 +180,7 @@
 	if from.ctx.Err() != nil { // replaced meanwhile: the call that replaced it delivers the same
 		return from.ctx.Err()
 	}
-	c.promoteWatch(from)
+	c.answered(from)
 	if list.Version < c.version && !(first && list.Full) {
 		kind, list = balance.DeltaUpdate, config.EndpointList{Version: c.version}
 	}
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"flag"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -67,7 +68,7 @@
 		DiscoveryTimeout: time.Minute, FirstEventTimeout: time.Minute, WatchSilenceTimeout: silence, EndpointListBytes: 1 << 10,
 		HeaderBytes: 1 << 10, HeaderFields: 100, ListUpdatesPerSecond: 1000, ListUpdateBurst: 1000,
 	}
-	return New(limits, platform.Real().Dial, addr, 41, e), e
+	return New(limits, platform.Real().Dial, []string{addr}, 41, e, slog.New(slog.DiscardHandler)), e
 }
 
 const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -103,7 +104,7 @@
 		http.ReadRequest(bufio.NewReader(old[i]))
 	}
 	addr, requested := serveOnce(t, chunks(`{"version":43,"servers":[]}`), true)
-	c.SetAddress(addr)
+	c.SetAddresses([]string{addr})
 	c.Watch()
 	for _, o := range old { // late answers
 		fmt.Fprint(o, chunks(`{"version":42,"full":true,"servers":[]}`), "0\r\n\r\n")
@@ -136,7 +137,7 @@
 	c, e = newClient(addr, time.Minute)
 	c.Watch()
 	<-requested
-	c.SetAddress("127.0.0.1:1") // refuses connections
+	c.SetAddresses([]string{"127.0.0.1:1"}) // refuses connections
 	c.Watch()
 	if got := <-e; got.kind != balance.FailedUpdate || len(e) != 0 {
 		t.Errorf("%+v and %d more", got, len(e))
--- a/internal/discovery/flood_test.go
+++ b/internal/discovery/flood_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -37,7 +38,7 @@
 func watchFlood(t *testing.T, handler Handler, text func(n int) string) (client *Client, sent *atomic.Int64) {
 	nodeEnd, far := net.Pipe()
 	dial := func(context.Context, string, time.Duration, string) (net.Conn, error) { return nodeEnd, nil }
-	client = New(floodLimits, dial, "discovery:1", 0, handler)
+	client = New(floodLimits, dial, []string{"discovery:1"}, 0, handler, slog.New(slog.DiscardHandler))
 	t.Cleanup(client.Close)
 	client.Watch()
 	sent = new(atomic.Int64)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -49,9 +49,9 @@
 		addr, _ := serveOnce(t, string(text), false)
 		c, e := newClient(addr, time.Minute)
 		if rapid.Bool().Draw(t, "fetch") {
-			c.exchange(&call{path: "/", ctx: t.Context()}, addr, c.readList)
+			c.exchange(&call{path: "/", ctx: t.Context(), address: addr}, time.Minute, c.readList)
 		} else {
-			c.run(&call{path: "/", ctx: t.Context()}, addr, c.readWatch)
+			c.run(&call{path: "/", ctx: t.Context()}, []string{addr}, c.readWatch)
 		}
 		failed := 0
 		for len(e) > 0 {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,7 +34,7 @@
 type EndpointSource interface {
 	Watch()
 	Fetch()
-	SetAddress(addr string)
+	SetAddresses(addresses []string)
 }
 
 // Dispatcher routes requests. Its methods may be called by any goroutine, except Run, which is called once, and those of
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 func (h fakeHost) UpdateWorkers(config.EndpointList) {}
 func (h fakeHost) Watch()                            { h.calls <- "watch" }
 func (h fakeHost) Fetch()                            {}
-func (h fakeHost) SetAddress(addr string)            { h.calls <- "move " + addr }
+func (h fakeHost) SetAddresses(addresses []string)   { h.calls <- "move " + strings.Join(addresses, " ") }
 
 func (h fakeHost) expect(t *testing.T, want string) {
 	t.Helper()
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -57,10 +57,11 @@
 	return states
 }
 
-// SetDiscoveryAddress sets the address of discovery. The Balancer requests the endpoint list from there at once.
-func (d *Dispatcher) SetDiscoveryAddress(addr string) {
+// SetDiscoveryAddresses sets the addresses of discovery, in order of preference. The Balancer requests the endpoint list at
+// once.
+func (d *Dispatcher) SetDiscoveryAddresses(addresses []string) {
 	d.queue.enqueue(discoverySource, func() {
-		d.endpoints.SetAddress(addr)
+		d.endpoints.SetAddresses(addresses)
 		d.balancer.UpdateEndpoints(d.now(), balance.MovedUpdate, nil)
 	})
 }
--- a/internal/dispatch/endpoints_test.go
+++ b/internal/dispatch/endpoints_test.go
@@ -13,7 +13,7 @@
 	for range 9 {
 		d.HandleListEvent(balance.FailedUpdate, config.EndpointList{})
 	}
-	d.SetDiscoveryAddress("there")
+	d.SetDiscoveryAddresses([]string{"there"})
 	h.expect(t, "move there")
 	h.expect(t, "watch")
 	d.Submit(admittedRequest("a"))
--- a/internal/node/clocks_test.go
+++ b/internal/node/clocks_test.go
@@ -80,7 +80,7 @@
 func handOverFromClock(t *testing.T, now time.Duration) {
 	w := startNode(t, nil)
 	c := *w.config
-	c.Discovery = silentListener(t).Addr().String() // so that the endpoint list does not change
+	c.Discovery = config.DiscoveryAddresses{File: silentListener(t).Addr().String()} // so that the endpoint list does not change
 	w.config = &c
 	workers := silentListener(t) // so that no load report and no response arrives
 	worker := balance.Worker{ID: "q", Zone: "a", Status: balance.Ready}
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -6,7 +6,8 @@
 //   - node.go: Node, created by newNode and run by Serve.
 //   - request.go: a client's request from its header to its response, on the goroutine of the HTTP server.
 //   - reload.go: applies configurations, on the single goroutine of reloadLoop. The values that change while the node
-//     runs are owned by limitsInForce (limits.go) and settingsInForce (settings.go), each guarded by its own mutex.
+//     runs are owned by limitsInForce (limits.go), settingsInForce (settings.go) and discoveryAddresses
+//     (discovery_addresses.go), each guarded by its own mutex.
 //   - connections.go, eviction.go: connTracker owns the client connections and enforces their limit.
 //   - drain.go: drainState owns whether the node accepts clients. A drain is requested by an operator, or is final
 //     after SIGTERM.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	clients     net.Listener
 	connections *connTracker
 	discovery   *discovery.Client
+	addresses   discoveryAddresses
 	listEvents  discovery.Handler // receives updates of the endpoint list
 	invariants  *invariant.Monitor
 
@@ -150,6 +151,7 @@
 			accounting: accounting.New(c.Limits, c.Settings.ClassNames(), log),
 		},
 		connections:   newConnTracker(c.Limits, monitor),
+		addresses:     discoveryAddresses{inForce: c.Discovery},
 		listEvents:    dispatcher,
 		invariants:    monitor,
 		limitsInForce: limitsInForce{limits: c.Limits, fromSettings: c.Limits},
@@ -184,7 +186,7 @@
 // endpoint list.
 func (n *Node) connect(version int64) {
 	n.transport = transport.New(n.limits, n.config.Settings, n.machine.Dial, attemptEvents{n.dispatcher, n.accounting})
-	n.discovery = discovery.New(n.limits, n.machine.Dial, n.config.Discovery, version, n.listEvents)
+	n.discovery = discovery.New(n.limits, n.machine.Dial, n.addresses.current().List(), version, n.listEvents, n.log)
 	n.transport.SetMonitor(n.invariants)
 	if n.handover != nil {
 		n.transport.EnableMigration()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -204,7 +204,7 @@
 		t.Cleanup(discovery.Close)
 		t.Cleanup(discovery.CloseClientConnections)
 		to := *w.config
-		to.Discovery = discovery.Listener.Addr().String()
+		to.Discovery = config.DiscoveryAddresses{File: discovery.Listener.Addr().String()}
 		if i == 2 { // the open request keeps the node draining
 			go w.status("POST", "/job", "X-Request-Id", "r")
 			<-w.jobs
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -44,8 +44,9 @@
 		n.rejectFile("settings rejected", "error", err)
 		return
 	}
-	n.log.Info("configuration reloaded", "discovery", to.Discovery, "classes", len(to.Settings.Balance.Classes))
-	n.dispatcher.SetDiscoveryAddress(to.Discovery) // even if unchanged: the operator may want a new request to discovery
+	addresses := n.addresses.reload(to.Discovery.File)
+	n.log.Info("configuration reloaded", "discovery", addresses.Preferred(), "classes", len(to.Settings.Balance.Classes))
+	n.dispatcher.SetDiscoveryAddresses(addresses.List()) // even if unchanged: the operator may want a new request to discovery
 	if refused := n.fleetSettings.fileApplied(reload.Config, to); refused != nil {
 		n.applyVersion(refused)
 		n.fleet.notifyReplica()
--- a/internal/testing/compat/compat_test.go
+++ b/internal/testing/compat/compat_test.go
@@ -199,11 +199,20 @@
 }
 
 // startProcess starts the program and waits until it is ready. The kernel kills it if the test's thread exits first.
-func startProcess(t *testing.T, name, program, configuration, folder string) *process {
+func startProcess(t *testing.T, name, program, configuration, folder string, environment ...string) *process {
+	t.Helper()
+	p := launchProcess(t, name, program, configuration, folder, environment...)
+	eventually(t, name+" is ready", p.ready)
+	return p
+}
+
+// launchProcess starts the program.
+func launchProcess(t *testing.T, name, program, configuration, folder string, environment ...string) *process {
 	t.Helper()
 	p := &process{name: name, control: freeAddress(t), ended: make(chan error, 1)}
 	p.command = exec.Command(program, "serve")
 	p.command.Env = append(os.Environ(), "GW_CONFIG="+configuration, "GW_CONTROL="+p.control, "TMPDIR="+folder)
+	p.command.Env = append(p.command.Env, environment...)
 	p.command.Stderr = &p.log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
@@ -217,17 +226,19 @@
 			t.Logf("log of %s:\n%s", name, p.log.String())
 		}
 	})
-	eventually(t, name+" is ready", func() bool {
-		answer, err := http.Get("http://" + p.control + "/-/ready")
-		if err != nil {
-			return false
-		}
-		answer.Body.Close()
-		return answer.StatusCode == http.StatusOK
-	})
 	return p
 }
 
+// ready reports whether the process says that it is ready.
+func (p *process) ready() bool {
+	answer, err := http.Get("http://" + p.control + "/-/ready")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // shutDown ends the process with SIGTERM, as an operator does, and expects the exit code 0.
 func (p *process) shutDown(t *testing.T) {
 	t.Helper()
--- a/internal/testing/scale/lightnode/lightnode.go
+++ b/internal/testing/scale/lightnode/lightnode.go
@@ -92,7 +92,7 @@
 		list{n},
 		func(peers []string, quiet func([]string)) { go quiet(peers) },
 	) // no attempt is anywhere
-	n.upstream = discovery.New(c.Limits, m.Dial, c.Discovery, 0, n.drainer)
+	n.upstream = discovery.New(c.Limits, m.Dial, c.Discovery.List(), 0, n.drainer, log)
 	o := gossip.Options{
 		Fleet:          fc,
 		Name:           c.Name,
@@ -332,7 +332,7 @@
 	n.config, n.text = c, text
 	n.mu.Unlock()
 	n.reloads.Add(1)
-	n.upstream.SetAddress(c.Discovery)
+	n.upstream.SetAddresses(c.Discovery.List())
 	n.upstream.Watch()
 	return nil
 }
--- a/internal/testing/simulation/fault_actions.go
+++ b/internal/testing/simulation/fault_actions.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"swiftdeal/internal/config"
 	"swiftdeal/internal/node"
 	"swiftdeal/internal/testing/fake"
 )
@@ -101,7 +102,7 @@
 		return
 	}
 	to := *n.config
-	to.Discovery = discovery
+	to.Discovery = config.DiscoveryAddresses{File: discovery}
 	sim.trace("%s SIGHUP, discovery at %s", n.name, discovery)
 	sim.sendReload(n, node.Reload{Config: &to})
 }
--- a/internal/testing/simulation/process.go
+++ b/internal/testing/simulation/process.go
@@ -106,7 +106,7 @@
 	sim.nodes[n.index] = n
 	conf := sim.settings[n.index]
 	conf.Seed = xxhash.Sum64String(fmt.Sprint(sim.plan.Seed, n.name, n.incarnation))
-	conf.Discovery = n.discovery
+	conf.Discovery = config.DiscoveryAddresses{File: n.discovery}
 	version, list := sim.discovery.List()
 	known, err := config.ParseEndpointList(fake.ListMessage(version, true, list))
 	if err != nil {
