Handover: a process that serves clients again is found by the next new process

Callers saw: after a replacement whose new process was killed, the next new process found a socket at which nobody listens. Cause: the new process's socket takes the public name in place of the old one's, whose own name was gone since its rename. Change: the private path stays a link to the socket, so that Open can be called again; the old process does so when it takes clients back.

--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -20,7 +20,8 @@
 
 // SuccessorListener accepts links from processes that ask to take over.
 type SuccessorListener interface {
-	// Open makes the listener public. Until then, successors connect to the process that this one replaces.
+	// Open makes the listener public. Until then, successors connect to the process that this one replaces. It is called again
+	// if a successor that had made its own listener public has died.
 	Open() error
 	// Accept returns the link to the next successor, or an error once the listener is closed.
 	Accept() (Link, error)
--- a/internal/handover/unix_link_test.go
+++ b/internal/handover/unix_link_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -94,3 +96,39 @@
 		t.Error("received a message on a closed link")
 	}
 }
+
+// Guards against a process that serves clients again, after its successor has died, and is not found by the next successor.
+func TestOpenAgain(t *testing.T) {
+	dir := t.TempDir()
+	_, _, h := linkPair(t, dir)
+	folder, err := privateDir(dir, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead, err := net.Listen("unix", filepath.Join(folder, "dead")) // the successor's socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.(*net.UnixListener).SetUnlinkOnClose(false)
+	if err := os.Rename(filepath.Join(folder, "dead"), filepath.Join(folder, publicName)); err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	if _, err := Dial(dir, "127.0.0.1:1", time.Second); err == nil {
+		t.Fatal("connected to the socket of a dead process")
+	}
+	for range 2 { // also if it is public already
+		if err := h.Open(); err != nil {
+			t.Fatal(err)
+		}
+		link, err := Dial(dir, "127.0.0.1:1", time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.Close()
+	}
+	h.Close()
+	if left, err := os.ReadDir(folder); err != nil || len(left) > 0 {
+		t.Errorf("left in the folder: %v, %v", left, err)
+	}
+}
--- a/internal/handover/unix_listener.go
+++ b/internal/handover/unix_listener.go
@@ -10,14 +10,17 @@
 	"swiftdeal/internal/listen"
 )
 
+// linkSuffix is added to the private path of a socket for the link that becomes the public path.
+const linkSuffix = "-link"
+
 // privateSocketMode allows only the owner to connect to the socket.
 const privateSocketMode = 0o600
 
 // unixSuccessorListener is the Unix socket that successors connect to.
 type unixSuccessorListener struct {
 	listener    *listen.Listener
-	publicPath  string // the path that successors connect to
-	privatePath string // the path of the socket until Open
+	publicPath  string // the path that successors connect to, after Open
+	privatePath string // the path of the socket while it is open
 	sendTimeout time.Duration
 	privateInfo os.FileInfo
 }
@@ -49,8 +52,17 @@
 	return l, nil
 }
 
-// Open implements SuccessorListener. It replaces the socket of an earlier process atomically.
-func (l *unixSuccessorListener) Open() error { return os.Rename(l.privatePath, l.publicPath) }
+// Open implements SuccessorListener. It replaces the socket of another process atomically. The private path stays a link to the
+// socket, so that it can be opened again.
+func (l *unixSuccessorListener) Open() error {
+	link := l.privatePath + linkSuffix
+	os.Remove(link) // left by an earlier process with this process id
+	if err := os.Link(l.privatePath, link); err != nil {
+		return err
+	}
+	defer os.Remove(link) // where the socket is the public one already, renaming leaves it
+	return os.Rename(link, l.publicPath)
+}
 
 // Accept implements SuccessorListener. Connections from processes of other users are closed and skipped.
 func (l *unixSuccessorListener) Accept() (Link, error) {
--- a/internal/node/process_handover.go
+++ b/internal/node/process_handover.go
@@ -55,11 +55,18 @@
 		return
 	}
 	// Opened only now: guards against a process that serves clients but is not found by the process that is to replace it.
+	if h.openSuccessors() {
+		h.run(noLink{}, h.acceptSuccessors)
+	}
+}
+
+// openSuccessors makes this process the one that further processes ask to take over from, and reports whether it is.
+func (h *processHandover) openSuccessors() bool {
 	if err := h.successors.Open(); err != nil {
 		h.node.log.Warn("handover unavailable", "error", err)
-		return
+		return false
 	}
-	h.run(noLink{}, h.acceptSuccessors)
+	return true
 }
 
 // awaitEndpoints waits until the endpoint list is known, since no clients should be taken over before. It waits at most
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -143,6 +143,7 @@
 	if !resumes {
 		return
 	}
+	h.openSuccessors() // guards against a further process that only finds the socket of the one that has died
 	h.listener.resume()
 	if err := n.fleet.join(true); err != nil {
 		n.log.Error("fleet membership lost", "error", err)
