Handover: both processes of a node know the addresses of discovery in force

And a process that takes clients back, as the new one has died, calls the address of before. Cause: class "a process does not know what another process of the node was told": the handover carried no address, and a signal reaches one of two processes. Evidence: the three new cases of compat.TestStartAfterDiscoveryMoved (the old address answers with an old list; the old process is told after the new one has taken over; the new one is told, and dies), the last two of which do not depend on an address that answers. Change: KindWelcome tells the addresses in force. Processes that say so in hello and welcome (Updates) tell each other later changes (KindUpdate); others get none, as an unknown kind ends their link. A new process with another GW_DISCOVERY than the old one keeps to it.

--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -34,7 +34,7 @@
 }
 
 // decode reads a frame and returns its message and the number of descriptors passed with it. A message of unknown kind or with an
-// invalid endpoint list is an error.
+// invalid endpoint list or address of discovery is an error.
 func decode(r io.Reader) (m Message, descriptors int, err error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -63,5 +63,10 @@
 			return m, 0, fmt.Errorf("group: %w", err)
 		}
 	}
+	if m.Discovery != nil {
+		if err := m.Discovery.Validate(); err != nil {
+			return m, 0, err
+		}
+	}
 	return m, descriptors, nil
 }
--- a/internal/handover/frames_test.go
+++ b/internal/handover/frames_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"swiftdeal/balance"
+	"swiftdeal/internal/config"
 )
 
 // descriptorCounts maps each kind of message to the number of descriptors in the header of its fixture.
@@ -73,10 +74,35 @@
 	f := fieldFiller{next: int64(1000 * (strings.Index("hello welcome refused take taken client job", string(k)) + 1))}
 	f.fill(reflect.ValueOf(&m).Elem())
 	m.Kind = k
-	m.UsedIDs = nil // added since the fixtures were written, see TestUsedIDs
+	// Added since the fixtures were written, see TestUsedIDs and TestUpdate.
+	m.UsedIDs, m.Updates, m.Discovery = nil, false, nil
 	return m
 }
 
+// What changes is sent as an update, and is left out of other messages, as older versions do not know it. Addresses that are
+// invalid are an error.
+func TestUpdate(t *testing.T) {
+	moved := config.DiscoveryAddresses{Environment: "127.0.0.1:1", File: "127.0.0.1:2", Reloaded: true, Moved: true, NewerFile: "127.0.0.1:3"}
+	sent := Message{Kind: KindUpdate, Discovery: &moved, Updates: true}
+	frame, err := encode(sent, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, _, err := decode(bytes.NewReader(frame)); err != nil || !reflect.DeepEqual(got, sent) {
+		t.Errorf("decoded as %+v, %v, want %+v", got, err, sent)
+	}
+	if frame, err = encode(Message{Kind: KindWelcome}, 0); err != nil || bytes.Contains(frame, []byte("Discovery")) || bytes.Contains(frame, []byte("Updates")) {
+		t.Errorf("encoded as %s, %v", frame, err)
+	}
+	moved.File = "nowhere"
+	if frame, err = encode(sent, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := decode(bytes.NewReader(frame)); err == nil || !strings.Contains(err.Error(), "discovery") {
+		t.Errorf("an invalid address: error %v", err)
+	}
+}
+
 // IDs that are used go with the state, and are left out where there are none, as older versions do not know them.
 func TestUsedIDs(t *testing.T) {
 	sent := Message{Kind: KindState, UsedIDs: []UsedID{{ID: "a", Age: time.Second, Open: true}, {ID: "b"}}}
--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -28,10 +28,12 @@
 	Close() error
 }
 
-// Predecessor is the process to be replaced: the link to it, and its endpoint list.
+// Predecessor is the process to be replaced: the link to it, and what it has told of itself.
 type Predecessor struct {
-	Link  Link
-	Group config.EndpointList
+	Link      Link
+	Group     config.EndpointList        // its endpoint list
+	Discovery *config.DiscoveryAddresses // nil: it is of a version that does not tell them
+	Updates   bool                       // it understands KindUpdate
 }
 
 // Handshake asks the process at the other end of a link for a handover. It returns the predecessor and its listening socket,
@@ -47,7 +49,7 @@
 }
 
 func handshake(l Link, listen string, wait time.Duration) (*Predecessor, net.Listener, error) {
-	err := l.Send(Message{Kind: KindHello, Version: Version, Listen: listen})
+	err := l.Send(Message{Kind: KindHello, Version: Version, Listen: listen, Updates: true})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return &Predecessor{l, *answer.Group}, listener, nil
+	return &Predecessor{Link: l, Group: *answer.Group, Discovery: answer.Discovery, Updates: answer.Updates}, listener, nil
 }
 
 // passedListener returns the listener passed with a message, or nil if anything but one listener was passed.
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -32,6 +32,9 @@
 	KindState Kind = "taken"
 	// KindConnection: the old process passes a client's idle connection.
 	KindConnection Kind = "client"
+	// KindUpdate: a process tells the other one what it has been told since the handover began; Discovery is set if it has
+	// changed. It is sent after KindState, in both directions, to processes that have set Updates.
+	KindUpdate Kind = "update"
 	// KindRequest: the old process passes an open request, with the connection of its client and, if an attempt is in flight,
 	// the connection to the attempt's worker; Request and Clocks are set.
 	KindRequest Kind = "job"
@@ -40,7 +43,7 @@
 // known reports whether the kind is one of this version.
 func (k Kind) known() bool {
 	switch k {
-	case KindHello, KindWelcome, KindRefused, KindTakeOver, KindState, KindConnection, KindRequest:
+	case KindHello, KindWelcome, KindRefused, KindTakeOver, KindState, KindConnection, KindUpdate, KindRequest:
 		return true
 	}
 	return false
@@ -63,6 +66,12 @@
 	Clocks *Clocks `json:"Clocks,omitempty"`
 
 	UsedIDs []UsedID `json:"Used,omitempty"` // with the state: requests with these IDs would repeat jobs
+
+	// Updates is set in KindHello and KindWelcome: the sender understands KindUpdate. Versions that do not set it end the link
+	// at a message of a kind that they do not know.
+	Updates bool `json:"Updates,omitempty"`
+	// Discovery holds the sender's addresses of discovery; nil: the sender is of a version that does not tell them.
+	Discovery *config.DiscoveryAddresses `json:"Discovery,omitempty"`
 }
 
 // UsedID is the ID of a request of the old process that is open, or has ended and may have run.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 			accounting: accounting.New(c.Limits, c.Settings.ClassNames(), log),
 		},
 		connections:   newConnTracker(c.Limits, monitor),
-		addresses:     discoveryAddresses{inForce: c.Discovery},
+		addresses:     discoveryAddresses{inForce: startingAddresses(c, listeners.Predecessor)},
 		listEvents:    dispatcher,
 		invariants:    monitor,
 		limitsInForce: limitsInForce{limits: c.Limits, fromSettings: c.Limits},
@@ -182,6 +182,15 @@
 	return c.CachedEndpoints
 }
 
+// startingAddresses returns the addresses of discovery that the node starts with: those that reloads have put in force at the
+// predecessor, which are newer than the GW_DISCOVERY variable.
+func startingAddresses(c *config.Config, predecessor *handover.Predecessor) config.DiscoveryAddresses {
+	if predecessor == nil || predecessor.Discovery == nil {
+		return c.Discovery
+	}
+	return c.Discovery.Inherit(*predecessor.Discovery)
+}
+
 // connect creates the transport to the workers and the discovery client, which requests changes since a version of the
 // endpoint list.
 func (n *Node) connect(version int64) {
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -12,7 +12,8 @@
 
 // takeOver replaces the process at the other end of the link. The predecessor stops serving clients, sends its state, and
 // passes its connections as they become idle. If the link fails, the predecessor is gone and there is nothing to wait for.
-func (h *processHandover) takeOver(ctx context.Context, link handover.Link) {
+func (h *processHandover) takeOver(ctx context.Context, predecessor *handover.Predecessor) {
+	link := predecessor.Link
 	if err := h.receiveState(ctx, link); err != nil {
 		h.node.log.Warn("handover complete without the predecessor's state", "error", err)
 	} else {
@@ -31,6 +32,9 @@
 	h.mu.Unlock()
 	h.run(link, func() {
 		defer close(idle)
+		if predecessor.Updates {
+			defer h.sendUpdates(link, predecessor.Discovery).stop()
+		}
 		received, err := h.receiveClients(link, idle)
 		h.predecessorExited(received, err)
 	})
@@ -73,6 +77,8 @@
 					idle <- conn
 				}
 			}
+		case handover.KindUpdate:
+			h.applyUpdate(m, fromPredecessor)
 		}
 	}
 }
--- a/internal/node/process_handover.go
+++ b/internal/node/process_handover.go
@@ -28,10 +28,11 @@
 	handoff     handover.Handoff
 	linkCount   int // number of successor links accepted so far
 	links       map[io.Closer]bool
-	successor   handover.Link // to the process that took over the clients; nil if none has
-	predecessor handover.Link // to the process that this one has replaced; nil if it has exited, or there was none
-	migrating   chan struct{} // closed while open requests are to be migrated to the successor
-	closed      bool          // no more goroutines may be started
+	successor   handover.Link          // to the process that took over the clients; nil if none has
+	predecessor handover.Link          // to the process that this one has replaced; nil if it has exited, or there was none
+	migrating   chan struct{}          // closed while open requests are to be migrated to the successor
+	linked      map[*updateSender]bool // to the processes that are told of changes
+	closed      bool                   // no more goroutines may be started
 	running     sync.WaitGroup
 
 	transfers *transferGroup
@@ -40,7 +41,7 @@
 func newProcessHandover(n *Node, listener *handoverListener, successors handover.SuccessorListener) *processHandover {
 	return &processHandover{
 		node: n, listener: listener, successors: successors, endpoints: &endpointRecorder{Dispatcher: n.dispatcher},
-		links: map[io.Closer]bool{}, migrating: make(chan struct{}), transfers: newTransferGroup(),
+		links: map[io.Closer]bool{}, linked: map[*updateSender]bool{}, migrating: make(chan struct{}), transfers: newTransferGroup(),
 	}
 }
 
@@ -48,7 +49,7 @@
 func (h *processHandover) begin(ctx context.Context, predecessor *handover.Predecessor) {
 	if predecessor != nil {
 		h.awaitEndpoints(ctx)
-		h.takeOver(ctx, predecessor.Link)
+		h.takeOver(ctx, predecessor)
 		h.tookOver.Store(true)
 	}
 	if h.successors == nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -45,6 +45,7 @@
 		return
 	}
 	addresses := n.addresses.reload(to.Discovery.File)
+	n.handover.notifyLinked()
 	n.log.Info("configuration reloaded", "discovery", addresses.Preferred(), "classes", len(to.Settings.Balance.Classes))
 	n.dispatcher.SetDiscoveryAddresses(addresses.List()) // even if unchanged: the operator may want a new request to discovery
 	if refused := n.fleetSettings.fileApplied(reload.Config, to); refused != nil {
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -32,10 +32,15 @@
 		link.Send(handover.Message{Kind: handover.KindRefused, Version: handover.Version, Reason: reason})
 		return
 	}
-	welcome := handover.Message{Kind: handover.KindWelcome, Version: handover.Version, Group: h.endpoints.current()}
-	err = link.Send(welcome, h.listener.Listener)
-	for err == nil {
-		err = h.receiveStep(link, id)
+	addresses := h.node.addresses.current()
+	err = link.Send(handover.Message{
+		Kind: handover.KindWelcome, Version: handover.Version, Group: h.endpoints.current(), Discovery: &addresses, Updates: true,
+	}, h.listener.Listener)
+	for tookOver := false; err == nil; {
+		tookOver, err = h.receiveStep(link, id)
+		if tookOver && hello.Updates {
+			defer h.sendUpdates(link, &addresses).stop()
+		}
 	}
 	h.successorExited(link, id, err)
 }
@@ -54,11 +59,11 @@
 	return ""
 }
 
-// receiveStep receives and handles the successor's next message.
-func (h *processHandover) receiveStep(link handover.Link, id int) error {
+// receiveStep receives and handles the successor's next message. It reports whether the successor has just taken over.
+func (h *processHandover) receiveStep(link handover.Link, id int) (tookOver bool, err error) {
 	m, _, err := link.Receive(0)
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch m.Kind {
 	case handover.KindTakeOver:
@@ -66,8 +71,10 @@
 		first := h.handoff.TakeOver(id)
 		h.mu.Unlock()
 		if first {
-			return h.handOver(link)
+			return true, h.handOver(link)
 		}
+	case handover.KindUpdate:
+		h.applyUpdate(m, fromSuccessor)
 	case handover.KindRefused:
 		// Guards against two processes serving clients: the successor has been replaced in turn, and this process must
 		// not resume when the successor exits.
@@ -75,7 +82,7 @@
 		h.handoff.Shutdown()
 		h.mu.Unlock()
 	}
-	return nil
+	return false, nil
 }
 
 // handOver stops serving clients, and sends the state and the idle connections to the process on the link.
--- a/internal/testing/compat/discovery_moves_test.go
+++ b/internal/testing/compat/discovery_moves_test.go
@@ -28,7 +28,7 @@
 	variable                string           // GW_DISCOVERY
 	file                    string           // the address in the configuration file
 	server                  *httptest.Server // of discovery
-	workers                 atomic.Int64     // in discovery's list; none of them is ever called
+	workers                 *atomic.Int64    // in discovery's list; none of them is ever called
 	processes               []*process
 }
 
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { os.RemoveAll(folder) })
-	n := &movingNode{T: t, program: program, listen: freeAddress(t), folder: folder}
+	n := &movingNode{T: t, program: program, listen: freeAddress(t), folder: folder, workers: &atomic.Int64{}}
 	n.workers.Store(1)
 	n.serveDiscovery()
 	n.variable, n.file = n.address(), n.address()
@@ -49,9 +49,10 @@
 
 // serveDiscovery starts discovery at a new address.
 func (n *movingNode) serveDiscovery() {
+	listed := n.workers
 	n.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		for told := int64(0); r.Context().Err() == nil; time.Sleep(10 * time.Millisecond) {
-			if workers := n.workers.Load(); workers != told {
+			if workers := listed.Load(); workers != told {
 				told = workers
 				fmt.Fprint(rw, endpointList(workers))
 				http.NewResponseController(rw).Flush()
@@ -119,12 +120,21 @@
 // move moves discovery to a new address, of which only the given processes are told.
 func (n *movingNode) move(told ...*process) {
 	old := n.server
-	n.serveDiscovery()
-	n.reload(n.address(), told...)
+	n.abandon(told...)
 	old.Listener.Close()
 	old.CloseClientConnections()
 }
 
+// abandon moves discovery to a new address, of which only the given processes are told. The old one goes on to answer, but
+// hears of no more changes.
+func (n *movingNode) abandon(told ...*process) {
+	frozen := n.workers.Load()
+	n.workers = &atomic.Int64{}
+	n.workers.Store(frozen)
+	n.serveDiscovery()
+	n.reload(n.address(), told...)
+}
+
 // kill ends a process with SIGKILL.
 func (n *movingNode) kill(p *process) {
 	p.command.Process.Kill()
@@ -201,6 +211,37 @@
 			n.move(again)
 			n.expectHears(again)
 		},
+		"replaced while the old address still answers": func(n *movingNode) {
+			p := n.start()
+			for range 2 {
+				n.abandon(p)
+				n.expectHears(p)
+				old := p
+				p = n.start()
+				old.shutDown(n.T)
+				n.expectHears(p)
+			}
+		},
+		"the old process is told of the move, after the new one has taken over": func(n *movingNode) {
+			first := n.start()
+			next := n.start()
+			n.abandon(first)
+			n.expectHears(next)
+			first.shutDown(n.T)
+			n.expectHears(next)
+		},
+		"the new process is told of the move, and dies": func(n *movingNode) {
+			first := n.start()
+			next := n.start()
+			n.abandon(next)
+			n.expectHears(next)
+			n.kill(next)
+			eventually(n.T, "the first process serves again", first.ready)
+			n.expectHears(first)
+			again := n.start()
+			first.shutDown(n.T)
+			n.expectHears(again)
+		},
 		"a file with a wrong address, where nothing moved": func(n *movingNode) {
 			n.file = nobody
 			first := n.start()
--- a/internal/testing/simulation/handover.go
+++ b/internal/testing/simulation/handover.go
@@ -49,7 +49,7 @@
 // messageRank orders the messages that one process sends at one instant, so that their order does not depend on goroutine scheduling.
 var messageRank = map[handover.Kind]int{
 	handover.KindHello: 1, handover.KindWelcome: 2, handover.KindRefused: 3, handover.KindTakeOver: 4,
-	handover.KindState: 5, handover.KindConnection: 6, handover.KindRequest: 7, "": 8,
+	handover.KindState: 5, handover.KindUpdate: 6, handover.KindConnection: 7, handover.KindRequest: 8, "": 9,
 }
 
 func (p *message) compare(o *message) int {
