Handover: the old process passes on changes of the list while both processes run

Callers saw: a process was replaced while discovery had too many callers (new calls refused, open watches go on). Cause: the list went over once, with the welcome; what the old process heard later stayed there. Change: KindUpdate also carries the changes of the list, with the address of discovery that sent them. discovery.Client.Relay applies them if they are newer and come from one of its own addresses; versions of two services cannot be compared. The update is of a kind of its own for the balancer, as it is no sign that discovery answers this process: calls in backoff go on.

--- a/balance/api.go
+++ b/balance/api.go
@@ -43,6 +43,7 @@
 	FailedUpdate                         // a call to discovery failed; no entries
 	MovedUpdate                          // discovery has a new address; no entries, earlier ones stay valid
 	ObservedUpdate                       // changed entries from other nodes: no sign that discovery is up
+	RelayedUpdate                        // changed entries that another process of the node was told
 )
 
 // Request is a job to be placed.
--- a/internal/config/endpoints.go
+++ b/internal/config/endpoints.go
@@ -32,12 +32,13 @@
 	Full      bool          `json:"Full"`
 	Endpoints []Endpoint    `json:"Peers"`
 	SilentFor time.Duration `json:"-"` // time from when discovery was last heard until this message; 0: unknown
+	Source    string        `json:"-"` // the address of discovery that sent it; empty: unknown
 }
 
 // Merge returns the list that results from a message of discovery: the message's entries if it is a full list, otherwise
 // this list with the changed entries replaced. Removed workers are left out. The result shares no memory with either list.
 func (l EndpointList) Merge(message EndpointList) EndpointList {
-	merged := EndpointList{Version: message.Version, Full: true, Endpoints: []Endpoint{}}
+	merged := EndpointList{Version: message.Version, Full: true, Endpoints: []Endpoint{}, Source: message.Source}
 	changed := map[string]bool{}
 	for _, e := range message.Endpoints {
 		changed[e.ID] = true
@@ -55,6 +56,28 @@
 	return merged
 }
 
+// ChangesSince returns the entries that differ from those of an earlier full list, as a message of discovery would have them.
+func (l EndpointList) ChangesSince(earlier EndpointList) EndpointList {
+	changes := EndpointList{Version: l.Version, Source: l.Source}
+	before := map[string]Endpoint{}
+	for _, e := range earlier.Endpoints {
+		before[e.ID] = e
+	}
+	for _, e := range l.Endpoints {
+		if known, ok := before[e.ID]; !ok || known != e {
+			changes.Endpoints = append(changes.Endpoints, e)
+		}
+		delete(before, e.ID)
+	}
+	for _, e := range earlier.Endpoints {
+		if _, removed := before[e.ID]; removed {
+			e.Status = balance.Removed
+			changes.Endpoints = append(changes.Endpoints, e)
+		}
+	}
+	return changes
+}
+
 // Validate checks the entries of a message of discovery. Errors are of type *settings.KeyError.
 func (l EndpointList) Validate() error {
 	seen := map[string]bool{}
--- a/internal/config/endpoints_test.go
+++ b/internal/config/endpoints_test.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"runtime"
 	"strings"
 	"testing"
+
+	"swiftdeal/balance"
 )
 
 // Guards against a discovery that replaces workers with long texts without end: the node remembers a number of workers that have left
@@ -49,3 +52,23 @@
 		}
 	}
 }
+
+// Changes, merged into the earlier list, give the later one.
+func TestChangesSince(t *testing.T) {
+	entry := func(id string, status balance.WorkerStatus) Endpoint {
+		return Endpoint{Address: "127.0.0.1:1", Worker: balance.Worker{ID: id, Status: status}}
+	}
+	earlier := EndpointList{Version: 1, Full: true, Endpoints: []Endpoint{
+		entry("stays", balance.Ready), entry("drains", balance.Ready), entry("goes", balance.Ready),
+	}}
+	later := EndpointList{Version: 2, Full: true, Source: "127.0.0.1:2", Endpoints: []Endpoint{
+		entry("stays", balance.Ready), entry("drains", balance.Draining), entry("comes", balance.Ready),
+	}}
+	changes := later.ChangesSince(earlier)
+	if changes.Full || len(changes.Endpoints) != 3 {
+		t.Errorf("%+v", changes)
+	}
+	if got := earlier.Merge(changes); !reflect.DeepEqual(got, later) {
+		t.Errorf("%+v, want %+v", got, later)
+	}
+}
--- a/internal/controlplane/replica/drainer.go
+++ b/internal/controlplane/replica/drainer.go
@@ -42,7 +42,8 @@
 func (d *Drainer) HandleListEvent(kind balance.EndpointUpdate, list config.EndpointList) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if kind == balance.FullUpdate || kind == balance.CachedUpdate || kind == balance.DeltaUpdate {
+	switch kind {
+	case balance.FullUpdate, balance.CachedUpdate, balance.DeltaUpdate, balance.RelayedUpdate:
 		d.listed = d.listed.Merge(list)
 		list.Endpoints = d.withDraining(list.Endpoints)
 	}
--- a/internal/discovery/addresses.go
+++ b/internal/discovery/addresses.go
@@ -38,13 +38,16 @@
 
 // prefer records that an address has answered, and reports whether another one was preferred before.
 func (l *addressList) prefer(address string) (changed bool) {
-	if address == l.preferred || !slices.Contains(l.configured, address) {
+	if address == l.preferred || !l.contains(address) {
 		return false
 	}
 	l.preferred = address
 	return true
 }
 
+// contains reports whether an address is one of the configured ones.
+func (l *addressList) contains(address string) bool { return slices.Contains(l.configured, address) }
+
 // order returns the addresses in the order in which a call tries them.
 func (l *addressList) order() []string {
 	order := []string{l.preferred}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -184,12 +184,30 @@
 	if list.Version < c.version && !(first && list.Full) {
 		kind, list = balance.DeltaUpdate, config.EndpointList{Version: c.version}
 	}
+	list.Source = from.address
+	c.apply(kind, list)
+	c.lastHeard = time.Now()
+	return nil
+}
+
+// apply passes a list, or changes of it, to the handler; mu is held.
+func (c *Client) apply(kind balance.EndpointUpdate, list config.EndpointList) {
 	if !c.lastHeard.IsZero() {
 		list.SilentFor = time.Since(c.lastHeard)
 	}
 	list, dropped := c.listSize.apply(list)
 	c.dropped.Add(int64(dropped))
-	c.version, c.lastHeard = list.Version, time.Now()
+	c.version = list.Version
 	c.handler.HandleListEvent(kind, list)
-	return nil
+}
+
+// Relay applies changes of the list that another process of the node has heard from discovery, as far as this one has not heard of
+// them: discovery may answer that process alone. Changes from an address that is not one of the client's are discarded, since the
+// versions of two services cannot be compared.
+func (c *Client) Relay(changes config.EndpointList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if changes.Version > c.version && c.addresses.contains(changes.Source) && c.addressContext.Err() == nil {
+		c.apply(balance.RelayedUpdate, changes)
+	}
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -181,3 +181,35 @@
 		}
 	}
 }
+
+// Changes that another process of the node has heard are applied once, in the order of versions, and only if they come from an
+// address of this client's discovery.
+func TestRelay(t *testing.T) {
+	c, e := newClient("127.0.0.1:1", time.Minute)
+	relay := func(source string, version int64) {
+		c.Relay(config.EndpointList{Version: version, Source: source, Endpoints: []config.Endpoint{{Worker: balance.Worker{ID: "w"}}}})
+	}
+	relay("127.0.0.1:1", 41) // known already
+	relay("127.0.0.1:2", 50) // another service
+	if len(e) != 0 {
+		t.Errorf("%+v", <-e)
+	}
+	relay("127.0.0.1:1", 42)
+	if got := <-e; got.kind != balance.RelayedUpdate || got.group.Version != 42 || len(got.group.Endpoints) != 1 {
+		t.Errorf("%+v", got)
+	}
+	older := []byte(`{"version":41,"servers":[` + endpointJSON("in_service") + `]}`) // would undo what was relayed
+	if err := c.deliver(&call{ctx: t.Context()}, older, true); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-e; len(got.group.Endpoints) != 0 {
+		t.Errorf("%+v", got)
+	}
+	c.SetAddresses([]string{"127.0.0.1:3"})
+	relay("127.0.0.1:1", 43)
+	c.Close()
+	relay("127.0.0.1:3", 44)
+	if len(e) != 0 {
+		t.Errorf("%+v", <-e)
+	}
+}
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -39,7 +39,7 @@
 // hasEntries reports whether an update of this kind carries entries of workers.
 func hasEntries(kind balance.EndpointUpdate) bool {
 	switch kind {
-	case balance.FullUpdate, balance.CachedUpdate, balance.DeltaUpdate, balance.ObservedUpdate:
+	case balance.FullUpdate, balance.CachedUpdate, balance.DeltaUpdate, balance.ObservedUpdate, balance.RelayedUpdate:
 		return true
 	}
 	return false
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -33,7 +33,8 @@
 	// KindConnection: the old process passes a client's idle connection.
 	KindConnection Kind = "client"
 	// KindUpdate: a process tells the other one what it has been told since the handover began; Discovery is set if it has
-	// changed. It is sent after KindState, in both directions, to processes that have set Updates.
+	// changed, and Group, with Source, if the endpoint list of the old process has. It is sent after KindState, in both
+	// directions, to processes that have set Updates.
 	KindUpdate Kind = "update"
 	// KindRequest: the old process passes an open request, with the connection of its client and, if an attempt is in flight,
 	// the connection to the attempt's worker; Request and Clocks are set.
@@ -56,7 +57,7 @@
 	Version int                  `json:"Version,omitempty"`
 	Listen  string               `json:"Listen,omitempty"` // the address at which clients are accepted
 	Reason  string               `json:"Reason,omitempty"` // of a refusal
-	Group   *config.EndpointList `json:"Group,omitempty"`  // the old process's endpoint list
+	Group   *config.EndpointList `json:"Group,omitempty"`  // the old process's endpoint list; in KindUpdate its changes
 
 	BalancerState *balance.LearnedState `json:"Know,omitempty"` // the learned state of the old process's balancer
 	Request       *OpenRequest          `json:"Work,omitempty"`
@@ -72,6 +73,8 @@
 	Updates bool `json:"Updates,omitempty"`
 	// Discovery holds the sender's addresses of discovery; nil: the sender is of a version that does not tell them.
 	Discovery *config.DiscoveryAddresses `json:"Discovery,omitempty"`
+	// Source is the address of discovery that sent the changes in Group.
+	Source string `json:"Source,omitempty"`
 }
 
 // UsedID is the ID of a request of the old process that is open, or has ended and may have run.
--- a/internal/node/handover_updates.go
+++ b/internal/node/handover_updates.go
@@ -26,13 +26,18 @@
 	done     chan struct{}
 	stopOnce sync.Once
 
-	discovery config.DiscoveryAddresses // known at the other end; used by run only
+	// What is known at the other end; used by run only.
+	discovery config.DiscoveryAddresses
+	list      *config.EndpointList // nil: changes of the list are not told
 }
 
-// sendUpdates starts to tell the process at the other end of a link what changes. discovery holds the addresses known there; nil
-// if there are none. The caller stops the sender when the link has ended.
-func (h *processHandover) sendUpdates(link handover.Link, discovery *config.DiscoveryAddresses) *updateSender {
-	s := &updateSender{handover: h, link: link, changed: make(chan struct{}, 1), done: make(chan struct{})}
+// sendUpdates starts to tell the process at the other end of a link what changes. discovery holds the addresses known there, and
+// list the endpoint list; nil if there are none. Changes of the list are told only if there is one. The caller stops the sender
+// when the link has ended.
+func (h *processHandover) sendUpdates(
+	link handover.Link, discovery *config.DiscoveryAddresses, list *config.EndpointList,
+) *updateSender {
+	s := &updateSender{handover: h, link: link, changed: make(chan struct{}, 1), done: make(chan struct{}), list: list}
 	if discovery != nil {
 		s.discovery = *discovery
 	}
@@ -76,12 +81,30 @@
 
 // send sends what has changed since the last update.
 func (s *updateSender) send() error {
-	addresses := s.handover.node.addresses.current()
-	if addresses == s.discovery {
+	update := handover.Message{Kind: handover.KindUpdate, Group: s.listChanges()}
+	if addresses := s.handover.node.addresses.current(); addresses != s.discovery {
+		s.discovery, update.Discovery = addresses, &addresses
+	}
+	if update.Group != nil {
+		update.Source = update.Group.Source
+	} else if update.Discovery == nil {
 		return nil
 	}
-	s.discovery = addresses
-	return s.link.Send(handover.Message{Kind: handover.KindUpdate, Discovery: &addresses})
+	return s.link.Send(update)
+}
+
+// listChanges returns the changes of the endpoint list that the other end is to be told, or nil if there are none.
+func (s *updateSender) listChanges() *config.EndpointList {
+	if s.list == nil {
+		return nil
+	}
+	earlier, list := s.list, s.handover.endpoints.current()
+	if list.Version == earlier.Version {
+		return nil
+	}
+	s.list = list
+	changes := list.ChangesSince(*earlier)
+	return &changes
 }
 
 // notifyLinked has all linked processes told what has changed. It does not wait, and may be called on nil.
@@ -99,11 +122,15 @@
 // applyUpdate applies what another process of the node has been told.
 func (h *processHandover) applyUpdate(m handover.Message, from linkedProcess) {
 	n := h.node
-	if m.Discovery == nil || !n.addresses.follow(*m.Discovery, from) {
-		return
+	if m.Discovery != nil && n.addresses.follow(*m.Discovery, from) {
+		addresses := n.addresses.current()
+		n.log.Info("discovery moved", "discovery", addresses.Preferred())
+		n.dispatcher.SetDiscoveryAddresses(addresses.List())
+		h.notifyLinked()
+	}
+	if m.Group != nil {
+		changes := *m.Group
+		changes.Source = m.Source
+		n.discovery.Relay(changes)
 	}
-	addresses := n.addresses.current()
-	n.log.Info("discovery moved", "discovery", addresses.Preferred())
-	n.dispatcher.SetDiscoveryAddresses(addresses.List())
-	h.notifyLinked()
 }
--- a/internal/node/process_handover.go
+++ b/internal/node/process_handover.go
@@ -9,7 +9,7 @@
 
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
-	"swiftdeal/internal/dispatch"
+	"swiftdeal/internal/discovery"
 	"swiftdeal/internal/handover"
 )
 
@@ -39,10 +39,12 @@
 }
 
 func newProcessHandover(n *Node, listener *handoverListener, successors handover.SuccessorListener) *processHandover {
-	return &processHandover{
-		node: n, listener: listener, successors: successors, endpoints: &endpointRecorder{Dispatcher: n.dispatcher},
+	h := &processHandover{
+		node: n, listener: listener, successors: successors, endpoints: &endpointRecorder{Handler: n.listEvents},
 		links: map[io.Closer]bool{}, linked: map[*updateSender]bool{}, migrating: make(chan struct{}), transfers: newTransferGroup(),
 	}
+	h.endpoints.changed = h.notifyLinked
+	return h
 }
 
 // begin takes over from the predecessor, if there is one, and then starts to accept successors.
@@ -172,26 +174,30 @@
 
 // endpointRecorder keeps the endpoint list received from discovery, for the successor process.
 type endpointRecorder struct {
-	*dispatch.Dispatcher
+	discovery.Handler
+	changed func() // called when the list has changed; it does not wait
+
 	mu   sync.Mutex
 	list config.EndpointList
 }
 
 // HandleListEvent implements discovery.Handler.
 func (r *endpointRecorder) HandleListEvent(kind balance.EndpointUpdate, list config.EndpointList) {
-	if kind == balance.FullUpdate || kind == balance.CachedUpdate || kind == balance.DeltaUpdate {
+	switch kind {
+	case balance.FullUpdate, balance.CachedUpdate, balance.DeltaUpdate, balance.RelayedUpdate:
 		r.mu.Lock()
 		r.list = r.list.Merge(list)
 		r.mu.Unlock()
+		r.changed()
 	}
-	r.Dispatcher.HandleListEvent(kind, list)
+	r.Handler.HandleListEvent(kind, list)
 }
 
 // current returns a copy of the list.
 func (r *endpointRecorder) current() *config.EndpointList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := r.list.Merge(config.EndpointList{Version: r.list.Version})
+	list := r.list.Merge(config.EndpointList{Version: r.list.Version, Source: r.list.Source})
 	return &list
 }
 
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -32,14 +32,14 @@
 		link.Send(handover.Message{Kind: handover.KindRefused, Version: handover.Version, Reason: reason})
 		return
 	}
-	addresses := h.node.addresses.current()
+	addresses, list := h.node.addresses.current(), h.endpoints.current()
 	err = link.Send(handover.Message{
-		Kind: handover.KindWelcome, Version: handover.Version, Group: h.endpoints.current(), Discovery: &addresses, Updates: true,
+		Kind: handover.KindWelcome, Version: handover.Version, Group: list, Discovery: &addresses, Updates: true,
 	}, h.listener.Listener)
 	for tookOver := false; err == nil; {
 		tookOver, err = h.receiveStep(link, id)
 		if tookOver && hello.Updates {
-			defer h.sendUpdates(link, &addresses).stop()
+			defer h.sendUpdates(link, &addresses, list).stop()
 		}
 	}
 	h.successorExited(link, id, err)
--- a/internal/testing/compat/discovery_moves_test.go
+++ b/internal/testing/compat/discovery_moves_test.go
@@ -29,6 +29,7 @@
 	file                    string           // the address in the configuration file
 	server                  *httptest.Server // of discovery
 	workers                 *atomic.Int64    // in discovery's list; none of them is ever called
+	crowded                 atomic.Bool      // discovery refuses new calls, but goes on with open ones
 	processes               []*process
 }
 
@@ -51,6 +52,10 @@
 func (n *movingNode) serveDiscovery() {
 	listed := n.workers
 	n.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if n.crowded.Load() {
+			http.Error(rw, "too many callers", http.StatusServiceUnavailable)
+			return
+		}
 		for told := int64(0); r.Context().Err() == nil; time.Sleep(10 * time.Millisecond) {
 			if workers := listed.Load(); workers != told {
 				told = workers
@@ -259,3 +264,21 @@
 		})
 	}
 }
+
+// TestReplacedWhileDiscoveryIsCrowded guards against a new process that does not know of a change of the list, because discovery
+// answers the old process alone.
+func TestReplacedWhileDiscoveryIsCrowded(t *testing.T) {
+	runtime.LockOSThread() // Pdeathsig is sent when the thread that started the process exits
+	n := newMovingNode(t, buildProgram(t, repositoryRoot(t), "present"))
+	first := n.start()
+	n.expectHears(first)
+	n.crowded.Store(true)
+	second := n.start()
+	n.expectHears(second)
+	third := n.start() // hears from the second process, which hears from the first one
+	n.expectHears(third)
+	n.crowded.Store(false)
+	second.shutDown(t)
+	first.shutDown(t)
+	n.expectHears(third)
+}
