Handover: the new process takes over which workers the control plane has drained

Cause: which workers are drained is the state of one process. The list that went over had them as draining, but the first whole list from discovery, which does not know of the drain, made them ready. Change: KindWelcome and KindUpdate name the drained workers, and the new process applies them from its first list on, until the control plane tells it. The list goes over as discovery has it; a new process of an earlier version gets it with the drained workers marked, as before. By reading, the marks could also stay for good at a new process whose watch had nothing new on such a worker.

--- a/internal/controlplane/replica/actions.go
+++ b/internal/controlplane/replica/actions.go
@@ -111,7 +111,7 @@
 		s.host.Resume()
 	case controlplane.DrainWorkersAction:
 		s.log.Info("drained workers updated", "workers", action.Workers)
-		s.config.Drainer.setDrained(action.Workers)
+		s.config.Drainer.SetDrained(action.Workers)
 	case controlplane.ApplySettingsAction:
 		s.host.ApplySettings(action.Version)
 	case controlplane.LogAction:
--- a/internal/controlplane/replica/drainer.go
+++ b/internal/controlplane/replica/drainer.go
@@ -64,8 +64,23 @@
 	return endpoints
 }
 
-// setDrained replaces the set of drained workers and passes the changed endpoints to the handler.
-func (d *Drainer) setDrained(workers []string) {
+// Drained returns the workers that the control plane has drained.
+func (d *Drainer) Drained() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.drained)
+}
+
+// Apply returns a list with the status of drained workers changed from ready to draining.
+func (d *Drainer) Apply(list config.EndpointList) config.EndpointList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list.Endpoints = d.withDraining(list.Endpoints)
+	return list
+}
+
+// SetDrained replaces the set of drained workers and passes the changed endpoints to the handler.
+func (d *Drainer) SetDrained(workers []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.drained
--- a/internal/controlplane/replica/drainer_test.go
+++ b/internal/controlplane/replica/drainer_test.go
@@ -47,7 +47,7 @@
 	ready := []config.Endpoint{testEndpoint("w1", balance.Ready), testEndpoint("w2", balance.Ready)}
 	d.HandleListEvent(balance.FullUpdate, config.EndpointList{Version: 1, Full: true, Endpoints: ready})
 	expect("full list", "1 w1 1", "1 w2 1")
-	d.setDrained([]string{"w1"})
+	d.SetDrained([]string{"w1"})
 	expect("first drain", fmt.Sprintf("%d w1 2", balance.ObservedUpdate))
 	oneDraining := []config.Endpoint{testEndpoint("w1", balance.Ready), testEndpoint("w2", balance.Draining)}
 	d.HandleListEvent(balance.DeltaUpdate, config.EndpointList{Version: 2, Endpoints: oneDraining})
@@ -61,7 +61,7 @@
 	if !d.isQuiesced("w1") {
 		t.Error("w1 not quiesced after the query reported it idle")
 	}
-	d.setDrained([]string{"w1", "w2"})
+	d.SetDrained([]string{"w1", "w2"})
 	expect("second drain", fmt.Sprintf("%d w2 2", balance.ObservedUpdate))
 	if d.isQuiesced("w1") {
 		t.Error("w1 still quiesced after the drained workers changed")
@@ -71,7 +71,7 @@
 	if d.isQuiesced("w1") {
 		t.Error("w1 quiesced by the result of an outdated query")
 	}
-	d.setDrained(nil)
+	d.SetDrained(nil)
 	expect("end of the drain", fmt.Sprintf("%d w1 1", balance.ObservedUpdate), fmt.Sprintf("%d w2 2", balance.ObservedUpdate))
 	d.HandleListEvent(balance.FailedUpdate, config.EndpointList{})
 	states := map[string]balance.WorkerState{"w1": {StartedAt: 95 * time.Second}}
--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -33,6 +33,7 @@
 	Link      Link
 	Group     config.EndpointList        // its endpoint list
 	Discovery *config.DiscoveryAddresses // nil: it is of a version that does not tell them
+	Drained   []string                   // workers that the control plane has drained
 	Updates   bool                       // it understands KindUpdate
 }
 
@@ -65,7 +66,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return &Predecessor{Link: l, Group: *answer.Group, Discovery: answer.Discovery, Updates: answer.Updates}, listener, nil
+	predecessor := &Predecessor{Link: l, Group: *answer.Group, Discovery: answer.Discovery, Updates: answer.Updates}
+	if answer.DrainedWorkers != nil {
+		predecessor.Drained = *answer.DrainedWorkers
+	}
+	return predecessor, listener, nil
 }
 
 // passedListener returns the listener passed with a message, or nil if anything but one listener was passed.
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -33,8 +33,8 @@
 	// KindConnection: the old process passes a client's idle connection.
 	KindConnection Kind = "client"
 	// KindUpdate: a process tells the other one what it has been told since the handover began; Discovery is set if it has
-	// changed, and Group, with Source, if the endpoint list of the old process has. It is sent after KindState, in both
-	// directions, to processes that have set Updates.
+	// changed, DrainedWorkers if they have, and Group, with Source, if the endpoint list of the old process has. It is sent
+	// after KindState, in both directions, to processes that have set Updates.
 	KindUpdate Kind = "update"
 	// KindRequest: the old process passes an open request, with the connection of its client and, if an attempt is in flight,
 	// the connection to the attempt's worker; Request and Clocks are set.
@@ -73,6 +73,9 @@
 	Updates bool `json:"Updates,omitempty"`
 	// Discovery holds the sender's addresses of discovery; nil: the sender is of a version that does not tell them.
 	Discovery *config.DiscoveryAddresses `json:"Discovery,omitempty"`
+	// DrainedWorkers are the workers that the fleet's control plane has drained, with KindWelcome, and with KindUpdate if they
+	// have changed. To processes that have not set Updates they are draining in Group.
+	DrainedWorkers *[]string `json:"DrainedWorkers,omitempty"`
 	// Source is the address of discovery that sent the changes in Group.
 	Source string `json:"Source,omitempty"`
 }
--- a/internal/node/control_plane.go
+++ b/internal/node/control_plane.go
@@ -172,7 +172,10 @@
 func (h controlPlaneHost) Resume() { h.member.node.Resume() }
 
 // SetSynced implements replica.Host.
-func (h controlPlaneHost) SetSynced(synced bool) { h.member.drainsKnown.Store(synced) }
+func (h controlPlaneHost) SetSynced(synced bool) {
+	h.member.drainsKnown.Store(synced)
+	h.member.node.handover.notifyLinked() // the drained workers may have changed
+}
 
 // RequestCounts implements replica.Host.
 func (h controlPlaneHost) RequestCounts() map[string]rollout.Count {
--- a/internal/node/fake_predecessor_test.go
+++ b/internal/node/fake_predecessor_test.go
@@ -18,6 +18,7 @@
 	clocks    *handover.Clocks
 	listener  net.Listener // of the clients
 	passed    []passedMessage
+	drained   []string      // workers that the control plane has drained
 	link      handover.Link // set by play
 }
 
@@ -55,7 +56,9 @@
 		return err
 	}
 	s.link.Receive(time.Minute) // hello
-	s.link.Send(handover.Message{Kind: handover.KindWelcome, Version: handover.Version, Group: s.endpoints}, s.listener)
+	s.link.Send(handover.Message{
+		Kind: handover.KindWelcome, Version: handover.Version, Group: s.endpoints, DrainedWorkers: &s.drained, Updates: true,
+	}, s.listener)
 	if m, _, err := s.link.Receive(time.Minute); err != nil || m.Kind != handover.KindTakeOver {
 		return fmt.Errorf("got %q, want %q: %v", m.Kind, handover.KindTakeOver, err)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +72,36 @@
 	return f.drainer
 }
 
+// drainedWorkers returns the workers that the control plane has drained. It may be called on nil.
+func (f *fleetMember) drainedWorkers() []string {
+	if f == nil || f.drainer == nil {
+		return nil
+	}
+	return append([]string{}, f.drainer.Drained()...) // not nil, which a message could not tell from unchanged
+}
+
+// inheritDrained drains the workers that another process of the node knows to be drained, unless this process is the member and
+// the control plane has told it. It reports whether the workers have changed. It may be called on nil.
+func (f *fleetMember) inheritDrained(workers []string, from linkedProcess) (changed bool) {
+	if f == nil || f.drainer == nil || from == fromPredecessor && f.drainsKnown.Load() {
+		return false
+	}
+	if slices.Equal(workers, f.drainer.Drained()) {
+		return false
+	}
+	f.drainer.SetDrained(workers)
+	return true
+}
+
+// withDrained returns an endpoint list in which the workers that the control plane has drained are draining. It may be called on
+// nil.
+func (f *fleetMember) withDrained(list config.EndpointList) config.EndpointList {
+	if f == nil || f.drainer == nil {
+		return list
+	}
+	return f.drainer.Apply(list)
+}
+
 // join joins the fleet. A process that replaces another one waits for its address to become free: the predecessor
 // releases it when it stops serving clients.
 func (f *fleetMember) join(replaces bool) error {
--- a/internal/node/fleet_settings_test.go
+++ b/internal/node/fleet_settings_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 	"swiftdeal/internal/controlplane"
 	"swiftdeal/internal/controlplane/configversion"
+	"swiftdeal/internal/handover"
 	"swiftdeal/internal/platform"
 )
 
@@ -312,3 +314,35 @@
 		t.Error("metrics of fleet settings without a [settings] section, or none of the control plane")
 	}
 }
+
+// Guards against a new process that sends to a worker which the control plane has drained, until the control plane answers it: it
+// takes what its predecessor knows, at the start and later.
+func TestDrainedWorkersAreInherited(t *testing.T) {
+	w := startNodeWith(t, platform.Real(), withQuickDials, func(*config.Config) {})
+	reserved, err := net.ListenPacket("udp4", "127.64.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := reserved.LocalAddr().String()
+	reserved.Close()
+	w.config.Limits.ControlPlaneReadyTimeout = 0
+	w.config.Fleet = &config.Fleet{
+		Name: "test", MemberName: "n0", Listen: address, Advertise: address, Period: 50 * time.Millisecond, MaxMembers: 64,
+		ForgetAfter: time.Minute, ControlPlane: &config.ControlPlane{Replicas: []string{"n1", "n2", "n3"}}, // which nobody is
+	}
+	script := &handoverScript{
+		endpoints: &w.config.CachedEndpoints, state: &balance.LearnedState{}, listener: silentListener(t), drained: []string{"p"},
+		clocks: &handover.Clocks{Monotonic: platform.Real().Monotonic(), Balancer: time.Duration(time.Now().UnixNano())},
+	}
+	stop, ended := script.replaceBy(t, w, t.TempDir())
+	w.awaitMetrics(t, "gw_workers_known 1", "gw_workers_excluded 1")
+	for _, drained := range [][]string{{}, {"p"}} {
+		script.link.Send(handover.Message{Kind: handover.KindUpdate, DrainedWorkers: &drained})
+		w.awaitMetrics(t, "gw_workers_known 1", fmt.Sprint("gw_workers_excluded ", len(drained)))
+	}
+	script.link.Close()
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/handover_updates.go
+++ b/internal/node/handover_updates.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 
 	"swiftdeal/internal/config"
@@ -18,6 +19,30 @@
 	fromSuccessor
 )
 
+// toldState is what a process of the node has been told and another one has to know.
+type toldState struct {
+	discovery config.DiscoveryAddresses
+	drained   []string             // workers that the control plane has drained
+	list      *config.EndpointList // nil: it is not passed on
+}
+
+// currentState returns what this process has been told.
+func (h *processHandover) currentState() toldState {
+	return toldState{
+		discovery: h.node.addresses.current(), drained: h.node.fleet.drainedWorkers(), list: h.endpoints.current(),
+	}
+}
+
+// toldBy returns what a predecessor has told of itself. The list is not passed on to it: it asks discovery itself, and is about to
+// exit.
+func toldBy(predecessor *handover.Predecessor) toldState {
+	told := toldState{drained: predecessor.Drained}
+	if predecessor.Discovery != nil {
+		told.discovery = *predecessor.Discovery
+	}
+	return told
+}
+
 // updateSender tells the process at the other end of a link what changes in this one.
 type updateSender struct {
 	handover *processHandover
@@ -25,22 +50,13 @@
 	changed  chan struct{} // capacity 1
 	done     chan struct{}
 	stopOnce sync.Once
-
-	// What is known at the other end; used by run only.
-	discovery config.DiscoveryAddresses
-	list      *config.EndpointList // nil: changes of the list are not told
+	known    toldState // at the other end; used by run only
 }
 
-// sendUpdates starts to tell the process at the other end of a link what changes. discovery holds the addresses known there, and
-// list the endpoint list; nil if there are none. Changes of the list are told only if there is one. The caller stops the sender
-// when the link has ended.
-func (h *processHandover) sendUpdates(
-	link handover.Link, discovery *config.DiscoveryAddresses, list *config.EndpointList,
-) *updateSender {
-	s := &updateSender{handover: h, link: link, changed: make(chan struct{}, 1), done: make(chan struct{}), list: list}
-	if discovery != nil {
-		s.discovery = *discovery
-	}
+// sendUpdates starts to tell the process at the other end of a link what changes from what is known there. The caller stops the
+// sender when the link has ended.
+func (h *processHandover) sendUpdates(link handover.Link, known toldState) *updateSender {
+	s := &updateSender{handover: h, link: link, changed: make(chan struct{}, 1), done: make(chan struct{}), known: known}
 	h.mu.Lock()
 	h.linked[s] = true
 	h.mu.Unlock()
@@ -79,32 +95,27 @@
 	}
 }
 
-// send sends what has changed since the last update.
+// send sends what has changed since the last update, if anything has.
 func (s *updateSender) send() error {
-	update := handover.Message{Kind: handover.KindUpdate, Group: s.listChanges()}
-	if addresses := s.handover.node.addresses.current(); addresses != s.discovery {
-		s.discovery, update.Discovery = addresses, &addresses
+	update, changed := handover.Message{Kind: handover.KindUpdate}, false
+	now := s.handover.currentState()
+	if now.discovery != s.known.discovery {
+		s.known.discovery = now.discovery
+		update.Discovery, changed = &now.discovery, true
 	}
-	if update.Group != nil {
-		update.Source = update.Group.Source
-	} else if update.Discovery == nil {
-		return nil
+	if !slices.Equal(now.drained, s.known.drained) {
+		s.known.drained = now.drained
+		update.DrainedWorkers, changed = &now.drained, true
 	}
-	return s.link.Send(update)
-}
-
-// listChanges returns the changes of the endpoint list that the other end is to be told, or nil if there are none.
-func (s *updateSender) listChanges() *config.EndpointList {
-	if s.list == nil {
-		return nil
+	if s.known.list != nil && now.list.Version != s.known.list.Version {
+		changes := now.list.ChangesSince(*s.known.list)
+		s.known.list = now.list
+		update.Group, update.Source, changed = &changes, changes.Source, true
 	}
-	earlier, list := s.list, s.handover.endpoints.current()
-	if list.Version == earlier.Version {
+	if !changed {
 		return nil
 	}
-	s.list = list
-	changes := list.ChangesSince(*earlier)
-	return &changes
+	return s.link.Send(update)
 }
 
 // notifyLinked has all linked processes told what has changed. It does not wait, and may be called on nil.
@@ -128,6 +139,9 @@
 		n.dispatcher.SetDiscoveryAddresses(addresses.List())
 		h.notifyLinked()
 	}
+	if m.DrainedWorkers != nil && n.fleet.inheritDrained(*m.DrainedWorkers, from) {
+		h.notifyLinked()
+	}
 	if m.Group != nil {
 		changes := *m.Group
 		changes.Source = m.Source
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,13 +163,16 @@
 	n.accounting.SetObjectives(c.Settings.Balance.Classes)
 	n.fleet = newFleetMember(n, machine, c, log)
 	n.fleetSettings = newFleetSettings(c)
+	n.listEvents = n.fleet.wrapDiscovery(n.listEvents)
+	if listeners.Predecessor != nil {
+		n.fleet.inheritDrained(listeners.Predecessor.Drained, fromPredecessor)
+	}
 	if listeners.Successors != nil || listeners.Predecessor != nil {
 		n.handover = newProcessHandover(n, newHandoverListener(listeners.Clients, n.acceptFailed), listeners.Successors)
 		n.listEvents, n.clients = n.handover.endpoints, n.handover.listener
 	} else {
 		n.clients = listen.New(listeners.Clients, n.acceptFailed)
 	}
-	n.listEvents = n.fleet.wrapDiscovery(n.listEvents)
 	return n, nil
 }
 
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -32,19 +32,30 @@
 		link.Send(handover.Message{Kind: handover.KindRefused, Version: handover.Version, Reason: reason})
 		return
 	}
-	addresses, list := h.node.addresses.current(), h.endpoints.current()
-	err = link.Send(handover.Message{
-		Kind: handover.KindWelcome, Version: handover.Version, Group: list, Discovery: &addresses, Updates: true,
-	}, h.listener.Listener)
+	told := h.currentState()
+	err = link.Send(h.welcome(told, hello.Updates), h.listener.Listener)
 	for tookOver := false; err == nil; {
 		tookOver, err = h.receiveStep(link, id)
 		if tookOver && hello.Updates {
-			defer h.sendUpdates(link, &addresses, list).stop()
+			defer h.sendUpdates(link, told).stop()
 		}
 	}
 	h.successorExited(link, id, err)
 }
 
+// welcome returns the message that begins a handover. A successor of a version without updates does not know of drained workers:
+// they are draining in its list.
+func (h *processHandover) welcome(told toldState, updates bool) handover.Message {
+	if !updates {
+		marked := h.node.fleet.withDrained(*told.list)
+		return handover.Message{Kind: handover.KindWelcome, Version: handover.Version, Group: &marked}
+	}
+	return handover.Message{
+		Kind: handover.KindWelcome, Version: handover.Version, Group: told.list, Discovery: &told.discovery,
+		DrainedWorkers: &told.drained, Updates: true,
+	}
+}
+
 // rejectReason returns why a process may not take over now. If it may, the reason is empty, and no other process may take
 // over until its link ends.
 func (h *processHandover) rejectReason(hello handover.Message, id int) string {
