--- a/internal/testing/compat/compat_test.go
+++ b/internal/testing/compat/compat_test.go
@@ -22,8 +22,9 @@
 	"time"
 )
 
-// baseRevision is the release with which this build must support a handover in both directions.
-const baseRevision = "33b4d57"
+// baseRevisions are the builds with which this one must support a handover in both directions: the first release with the
+// protocol, and the last build whose processes do not tell each other what they are told.
+var baseRevisions = []string{"33b4d57", "b1deed6"}
 
 // stepTimeout is the time limit of each step. It is generous, so that only a real failure reaches it.
 const stepTimeout = 20 * time.Second
@@ -50,16 +51,16 @@
 	return filepath.Dir(strings.TrimSpace(string(path)))
 }
 
-// baseSources unpacks the sources of baseRevision into a folder. It skips the test if the checkout does not have that revision;
+// baseSources unpacks the sources of a base revision into a folder. It skips the test if the checkout does not have that revision;
 // the formats that processes exchange are then checked only by the golden files of the packages.
-func baseSources(t *testing.T, root string) string {
+func baseSources(t *testing.T, root, revision string) string {
 	t.Helper()
-	find := exec.Command("git", "cat-file", "-e", baseRevision+"^{commit}")
+	find := exec.Command("git", "cat-file", "-e", revision+"^{commit}")
 	find.Dir = root
 	if output, err := find.CombinedOutput(); err != nil {
-		t.Skipf("no revision %s in this checkout (a shallow clone, or none of git): %v %s", baseRevision, err, output)
+		t.Skipf("no revision %s in this checkout (a shallow clone, or none of git): %v %s", revision, err, output)
 	}
-	archive := exec.Command("git", "archive", baseRevision, "go.mod", "go.sum", "balance", "cmd", "internal")
+	archive := exec.Command("git", "archive", revision, "go.mod", "go.sum", "balance", "cmd", "internal")
 	archive.Dir = root
 	packed, err := archive.Output()
 	if err != nil {
@@ -321,9 +322,15 @@
 // one request is served, one waits for capacity and two connections are idle. Each request must be answered once, with one attempt.
 func TestHandoverBetweenReleases(t *testing.T) {
 	root := repositoryRoot(t)
-	base, present := buildProgram(t, baseSources(t, root), "base"), buildProgram(t, root, "present")
-	t.Run("base to present", func(t *testing.T) { handOver(t, base, present) })
-	t.Run("present to base", func(t *testing.T) { handOver(t, present, base) })
+	present := buildProgram(t, root, "present")
+	for _, revision := range baseRevisions {
+		t.Run(revision, func(t *testing.T) {
+			base := buildProgram(t, baseSources(t, root, revision), "base")
+			t.Run("base to present", func(t *testing.T) { handOver(t, base, present) })
+			t.Run("present to base", func(t *testing.T) { handOver(t, present, base) })
+			t.Run("base to present, discovery moved", func(t *testing.T) { handOverMoved(t, base, present) })
+		})
+	}
 }
 
 func handOver(t *testing.T, from, to string) {
--- a/internal/testing/compat/discovery_moves_test.go
+++ b/internal/testing/compat/discovery_moves_test.go
@@ -265,6 +265,19 @@
 	}
 }
 
+// handOverMoved has a process of one build, whose discovery has moved, hand over to one of another build.
+func handOverMoved(t *testing.T, from, to string) {
+	runtime.LockOSThread() // Pdeathsig is sent when the thread that started the process exits
+	n := newMovingNode(t, from)
+	first := n.start()
+	n.move(first)
+	n.expectHears(first)
+	n.program = to
+	next := n.start()
+	first.shutDown(t)
+	n.expectHears(next)
+}
+
 // TestReplacedWhileDiscoveryIsCrowded guards against a new process that does not know of a change of the list, because discovery
 // answers the old process alone.
 func TestReplacedWhileDiscoveryIsCrowded(t *testing.T) {
