Handover: a drain that an operator has asked for survives the replacement of the process

The old process said yes too, as it had handed over. Cause: same class, "a process does not know what another process of the node was told": a requested drain is the state of one process. Change: KindWelcome and KindUpdate carry whether an operator has asked for a drain, and how long ago. An old process that serves again keeps to what its successor was told. Drains by the control plane are not carried: the new process learns its own grants from it, and nobody would end one that it had only inherited.

--- a/internal/handover/frames_test.go
+++ b/internal/handover/frames_test.go
@@ -75,7 +75,7 @@
 	f.fill(reflect.ValueOf(&m).Elem())
 	m.Kind = k
 	// Added since the fixtures were written, see TestUsedIDs and TestUpdate.
-	m.UsedIDs, m.Updates, m.Discovery, m.DrainedWorkers, m.Source = nil, false, nil, nil, ""
+	m.UsedIDs, m.Updates, m.Discovery, m.DrainedWorkers, m.Drain, m.Source = nil, false, nil, nil, nil, ""
 	return m
 }
 
--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -34,7 +34,8 @@
 	Group     config.EndpointList        // its endpoint list
 	Discovery *config.DiscoveryAddresses // nil: it is of a version that does not tell them
 	Drained   []string                   // workers that the control plane has drained
-	Updates   bool                       // it understands KindUpdate
+	Drain     OperatorDrain
+	Updates   bool // it understands KindUpdate
 }
 
 // Handshake asks the process at the other end of a link for a handover. It returns the predecessor and its listening socket,
@@ -70,6 +71,9 @@
 	if answer.DrainedWorkers != nil {
 		predecessor.Drained = *answer.DrainedWorkers
 	}
+	if answer.Drain != nil {
+		predecessor.Drain = *answer.Drain
+	}
 	return predecessor, listener, nil
 }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -33,7 +33,7 @@
 	// KindConnection: the old process passes a client's idle connection.
 	KindConnection Kind = "client"
 	// KindUpdate: a process tells the other one what it has been told since the handover began; Discovery is set if it has
-	// changed, DrainedWorkers if they have, and Group, with Source, if the endpoint list of the old process has. It is sent
+	// changed, DrainedWorkers and Drain if they have, and Group, with Source, if the endpoint list of the old process has. It is sent
 	// after KindState, in both directions, to processes that have set Updates.
 	KindUpdate Kind = "update"
 	// KindRequest: the old process passes an open request, with the connection of its client and, if an attempt is in flight,
@@ -76,10 +76,18 @@
 	// DrainedWorkers are the workers that the fleet's control plane has drained, with KindWelcome, and with KindUpdate if they
 	// have changed. To processes that have not set Updates they are draining in Group.
 	DrainedWorkers *[]string `json:"DrainedWorkers,omitempty"`
+	// Drain says whether an operator has asked for a drain of the node, with KindWelcome, and with KindUpdate if that has changed.
+	Drain *OperatorDrain `json:"Drain,omitempty"`
 	// Source is the address of discovery that sent the changes in Group.
 	Source string `json:"Source,omitempty"`
 }
 
+// OperatorDrain says whether an operator has asked for a drain of the node, which lasts until the operator ends it.
+type OperatorDrain struct {
+	Requested bool          `json:"Requested"`
+	For       time.Duration `json:"For"` // how long ago
+}
+
 // UsedID is the ID of a request of the old process that is open, or has ended and may have run.
 type UsedID struct {
 	ID   string        `json:"ID"`
--- a/internal/node/control_plane.go
+++ b/internal/node/control_plane.go
@@ -166,7 +166,7 @@
 func (h controlPlaneHost) Idle() bool { return h.member.node.admission.OpenRequests() == 0 }
 
 // Drain implements replica.Host.
-func (h controlPlaneHost) Drain() { h.member.node.Drain() }
+func (h controlPlaneHost) Drain() { h.member.node.requestDrain(time.Now(), false) }
 
 // Resume implements replica.Host.
 func (h controlPlaneHost) Resume() { h.member.node.Resume() }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"swiftdeal/internal/handover"
 )
 
 // drainPollInterval is how often a drain checks for connections that have become idle.
@@ -14,8 +16,9 @@
 type drainState struct {
 	mu           sync.Mutex
 	shuttingDown bool               // the process is terminating; never reset
-	requestedAt  time.Time          // when an operator requested a drain; zero if none is in progress
+	requestedAt  time.Time          // when an operator or the control plane requested a drain; zero if none is in progress
 	cancelDrain  context.CancelFunc // cancels the requested drain
+	byOperator   bool               // an operator has requested a drain and not ended it; kept while shutting down
 
 	holdsNone chan struct{} // closed once requests are not held any more, as the process will end soon
 
@@ -34,13 +37,31 @@
 	return s.shuttingDown || !s.requestedAt.IsZero(), requestedFor
 }
 
-// request records that a drain is requested. It returns a context that is canceled when the drain is canceled, or nil if
-// a drain is already in progress or the process is shutting down. The caller holds mu.
-func (s *drainState) request() context.Context {
+// operatorDrain returns whether an operator has requested a drain, for another process of the node.
+func (s *drainState) operatorDrain() handover.OperatorDrain {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drain := handover.OperatorDrain{Requested: s.byOperator}
+	if drain.Requested && !s.requestedAt.IsZero() {
+		drain.For = time.Since(s.requestedAt)
+	}
+	return drain
+}
+
+// endOperatorDrain records that an operator has ended the drain. Other than Resume it also does so in a process that shuts down.
+func (s *drainState) endOperatorDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byOperator = false
+}
+
+// request records that a drain was requested at a time. It returns a context that is canceled when the drain is canceled, or
+// nil if a drain is already in progress or the process is shutting down. The caller holds mu.
+func (s *drainState) request(at time.Time) context.Context {
 	if s.shuttingDown || !s.requestedAt.IsZero() {
 		return nil
 	}
-	s.requestedAt = time.Now()
+	s.requestedAt = at
 	var ctx context.Context
 	ctx, s.cancelDrain = context.WithCancel(context.Background())
 	return ctx
@@ -64,20 +85,42 @@
 
 // Drain implements control.Backend. A second call has no effect: the timing of the first one stays.
 func (n *Node) Drain() bool {
+	defer n.handover.notifyLinked()
+	n.requestDrain(time.Now(), true)
+	return true
+}
+
+// requestDrain drains the node from a time on, at the request of an operator or of the control plane.
+func (n *Node) requestDrain(at time.Time, byOperator bool) {
 	n.drainState.mu.Lock()
 	defer n.drainState.mu.Unlock()
-	drainCtx := n.drainState.request()
+	n.drainState.byOperator = n.drainState.byOperator || byOperator
+	drainCtx := n.drainState.request(at)
 	if drainCtx == nil {
-		return true
+		return
 	}
-	go n.closeIdleClients(drainCtx)
+	go n.closeIdleClients(drainCtx, at)
 	defer n.fleet.announceState()
 	n.log.Info("drain requested", "open", n.admission.OpenRequests(), "connections", n.connections.count())
+}
+
+// followDrain does what an operator has asked of another process of the node, and reports whether that is new.
+func (n *Node) followDrain(drain handover.OperatorDrain) (changed bool) {
+	if drain.Requested == n.drainState.operatorDrain().Requested {
+		return false
+	}
+	if drain.Requested {
+		n.requestDrain(time.Now().Add(-drain.For), true)
+	} else {
+		n.drainState.endOperatorDrain()
+		n.Resume()
+	}
 	return true
 }
 
 // Resume implements control.Backend. A process that is terminating does not resume.
 func (n *Node) Resume() bool {
+	defer n.handover.notifyLinked()
 	n.drainState.mu.Lock()
 	defer n.drainState.mu.Unlock()
 	if n.drainState.shuttingDown {
@@ -86,16 +129,17 @@
 	if n.drainState.requestedAt.IsZero() {
 		return true
 	}
+	n.drainState.byOperator = false
 	n.log.Info("drain canceled", "after_ms", time.Since(n.drainState.requestedAt).Milliseconds())
 	n.drainState.cancel()
 	defer n.fleet.announceState()
 	return true
 }
 
-// closeIdleClients closes idle client connections until ctx is canceled. At first it spares recently used connections,
-// whose clients may be about to send a request.
-func (n *Node) closeIdleClients(ctx context.Context) {
-	start, ticker := time.Now(), time.NewTicker(drainPollInterval)
+// closeIdleClients closes idle client connections until ctx is canceled, in a drain that began at start. At first it spares
+// recently used connections, whose clients may be about to send a request.
+func (n *Node) closeIdleClients(ctx context.Context, start time.Time) {
+	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/node/handover_updates.go
+++ b/internal/node/handover_updates.go
@@ -22,21 +22,23 @@
 // toldState is what a process of the node has been told and another one has to know.
 type toldState struct {
 	discovery config.DiscoveryAddresses
-	drained   []string             // workers that the control plane has drained
+	drained   []string // workers that the control plane has drained
+	drain     handover.OperatorDrain
 	list      *config.EndpointList // nil: it is not passed on
 }
 
 // currentState returns what this process has been told.
 func (h *processHandover) currentState() toldState {
 	return toldState{
-		discovery: h.node.addresses.current(), drained: h.node.fleet.drainedWorkers(), list: h.endpoints.current(),
+		discovery: h.node.addresses.current(), drained: h.node.fleet.drainedWorkers(),
+		drain: h.node.drainState.operatorDrain(), list: h.endpoints.current(),
 	}
 }
 
 // toldBy returns what a predecessor has told of itself. The list is not passed on to it: it asks discovery itself, and is about to
 // exit.
 func toldBy(predecessor *handover.Predecessor) toldState {
-	told := toldState{drained: predecessor.Drained}
+	told := toldState{drained: predecessor.Drained, drain: predecessor.Drain}
 	if predecessor.Discovery != nil {
 		told.discovery = *predecessor.Discovery
 	}
@@ -107,6 +109,10 @@
 		s.known.drained = now.drained
 		update.DrainedWorkers, changed = &now.drained, true
 	}
+	if now.drain.Requested != s.known.drain.Requested {
+		s.known.drain = now.drain
+		update.Drain, changed = &now.drain, true
+	}
 	if s.known.list != nil && now.list.Version != s.known.list.Version {
 		changes := now.list.ChangesSince(*s.known.list)
 		s.known.list = now.list
@@ -142,6 +148,9 @@
 	if m.DrainedWorkers != nil && n.fleet.inheritDrained(*m.DrainedWorkers, from) {
 		h.notifyLinked()
 	}
+	if m.Drain != nil && n.followDrain(*m.Drain) {
+		h.notifyLinked()
+	}
 	if m.Group != nil {
 		changes := *m.Group
 		changes.Source = m.Source
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,9 @@
 		defer n.handover.close()
 		n.handover.begin(ctx, listeners.Predecessor)
 	}
+	if replaces {
+		n.followDrain(listeners.Predecessor.Drain)
+	}
 	n.serving.Store(true)
 	if err := n.fleet.join(replaces); err != nil {
 		return err
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -191,7 +191,8 @@
 // with 503.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	code := http.StatusServiceUnavailable
-	if n.handover.handedOver() || n.Ready() { // after a handover the successor serves the clients
+	successorReady := n.handover.handedOver() && !n.drainState.operatorDrain().Requested
+	if successorReady || n.Ready() { // after a handover the successor serves the clients
 		code = http.StatusOK
 	}
 	if n.closesConn(ingress.ConnFromRequest(r)) {
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -52,7 +52,7 @@
 	}
 	return handover.Message{
 		Kind: handover.KindWelcome, Version: handover.Version, Group: told.list, Discovery: &told.discovery,
-		DrainedWorkers: &told.drained, Updates: true,
+		DrainedWorkers: &told.drained, Drain: &told.drain, Updates: true,
 	}
 }
 
