Handover: a file that the old process has rejected is not taken by the new one

Callers saw: a broken file came with SIGHUP and was rejected, as it should be. When the process was replaced after that, the new one exited at once (file cut off or empty), so that with the old one's SIGTERM the node was gone; or it took over with defaults in place of the missing key and with other classes than its operators had been told. Change: KindWelcome carries the text of the file in force (up to 1 MiB) and the hash of the one that was rejected last. A process whose file is faulty looks for the process at GW_LISTEN and takes its configuration; one whose file is the rejected one takes it too. Both log the error. A new start has nobody to ask, and ends with the error as before.

--- a/cmd/swiftdeal/listen.go
+++ b/cmd/swiftdeal/listen.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -18,10 +19,25 @@
 	"swiftdeal/internal/platform"
 )
 
+// takeover is the process that this one replaces, with its listening socket. The zero value stands for none.
+type takeover struct {
+	predecessor *handover.Predecessor
+	clients     net.Listener
+}
+
+// dialPredecessor asks the process that serves clients at an address for a handover. It fails if there is none.
+func dialPredecessor(listen string, timeout time.Duration) (found takeover, err error) {
+	link, err := handover.Dial(os.Getenv("TMPDIR"), listen, timeout)
+	if err == nil {
+		found.predecessor, found.clients, err = handover.Handshake(link, listen, timeout)
+	}
+	return found, err
+}
+
 // openListeners opens the node's listeners for clients, the control address and successors. A predecessor that serves at
-// the clients' address hands over its listening socket; if there is none or the handover fails, the node listens with
-// SO_REUSEPORT, so that both processes can listen there. Without a control address there is no handover.
-func openListeners(ctx context.Context, c *config.Config, log *slog.Logger) (listeners node.Listeners, err error) {
+// the clients' address hands over its listening socket, unless it was found before; if there is none or the handover fails, the node
+// listens with SO_REUSEPORT, so that both processes can listen there. Without a control address there is no handover.
+func openListeners(ctx context.Context, c *config.Config, found takeover, log *slog.Logger) (listeners node.Listeners, err error) {
 	if c.Control == "" {
 		listeners.Clients, err = listenWithRetry(ctx, c, c.Listen, net.ListenConfig{})
 		if err != nil {
@@ -33,21 +49,20 @@
 	if err != nil {
 		return listeners, fmt.Errorf("control: %w", err)
 	}
-	folder, timeout := os.Getenv("TMPDIR"), c.Limits.HandoverMessageTimeout
-	link, err := handover.Dial(folder, c.Listen, timeout)
-	if err == nil {
-		listeners.Predecessor, listeners.Clients, err = handover.Handshake(link, c.Listen, timeout)
-	}
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		log.Warn("handover from predecessor failed", "error", err)
+	timeout := c.Limits.HandoverMessageTimeout
+	if found.predecessor == nil {
+		if found, err = dialPredecessor(c.Listen, timeout); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			log.Warn("handover from predecessor failed", "error", err)
+		}
 	}
+	listeners.Predecessor, listeners.Clients = found.predecessor, found.clients
 	if listeners.Clients == nil {
 		listeners.Clients, err = listenSharingPort(ctx, c)
 		if err != nil {
 			return listeners, fmt.Errorf("listen: %w", err)
 		}
 	}
-	listeners.Successors, err = handover.Listen(folder, c.Listen, timeout)
+	listeners.Successors, err = handover.Listen(os.Getenv("TMPDIR"), c.Listen, timeout)
 	if err != nil {
 		log.Warn("handover unavailable", "error", err)
 		listeners.Successors = nil
--- a/cmd/swiftdeal/listen_test.go
+++ b/cmd/swiftdeal/listen_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err = openListeners(context.Background(), c, slog.New(slog.DiscardHandler))
+	d, err = openListeners(context.Background(), c, takeover{}, slog.New(slog.DiscardHandler))
 	if err == nil {
 		t.Cleanup(func() {
 			d.Clients.Close()
--- a/cmd/swiftdeal/serve.go
+++ b/cmd/swiftdeal/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,7 @@
 
 	"swiftdeal/internal/asynclog"
 	"swiftdeal/internal/config"
+	"swiftdeal/internal/handover"
 	"swiftdeal/internal/node"
 	"swiftdeal/internal/platform"
 )
@@ -38,12 +40,13 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE) // the process must not die when the reader of its log exits
-	c, err := s.loadConfig()
-	if err != nil {
-		return err
+	c, faultyFile := s.loadConfig(platform.ReadFile)
+	var found takeover
+	if faultyFile != nil {
+		if c, found = s.configOfPredecessor(); c == nil {
+			return faultyFile
+		}
 	}
-	runtime.GOMAXPROCS(c.Limits.Cores)
-	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	sink := asynclog.New(os.Stderr, logQueueLines, c.Limits.MemoryBytes/logQueueShare)
@@ -52,10 +55,18 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := openListeners(ctx, c, log)
+	listeners, err := openListeners(ctx, c, found, log)
 	if err != nil {
 		return err
 	}
+	if faultyFile == nil {
+		c, faultyFile = s.replaceRejected(c, listeners.Predecessor)
+	}
+	if faultyFile != nil {
+		log.Error("configuration rejected", "error", faultyFile)
+	}
+	runtime.GOMAXPROCS(c.Limits.Cores)
+	debug.SetMemoryLimit(c.Limits.MemoryBytes)
 	reloads := make(chan node.Reload)
 	listeners.Reloads = reloads
 	go reloadOnSignal(hangups, c, reloads)
@@ -63,8 +74,8 @@
 }
 
 // loadConfig reads the node's configuration file, and the fleet's file if --fleet names one.
-func (s serveCommand) loadConfig() (*config.Config, error) {
-	c, err := config.Load(os.Getenv, platform.ReadFile)
+func (s serveCommand) loadConfig(readFile func(string) ([]byte, error)) (*config.Config, error) {
+	c, err := config.Load(os.Getenv, readFile)
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +88,48 @@
 	return c, nil
 }
 
+// configOfPredecessor finds the process that this one replaces and returns the configuration in force there. It returns nil if
+// there is none, or if it does not tell its configuration. A process whose file is faulty would otherwise exit, while the one that
+// it is to replace, which has rejected the file or never read it, is told to end.
+func (s serveCommand) configOfPredecessor() (*config.Config, takeover) {
+	listen := os.Getenv("GW_LISTEN")
+	if listen == "" || os.Getenv("GW_CONTROL") == "" {
+		return nil, takeover{}
+	}
+	found, err := dialPredecessor(listen, config.HandoverMessageTimeout)
+	if err != nil {
+		return nil, takeover{}
+	}
+	c, err := s.loadConfig(textOf(found.predecessor))
+	if err != nil {
+		found.predecessor.Link.Close()
+		found.clients.Close()
+		return nil, takeover{}
+	}
+	return c, found
+}
+
+// errRejected means that the process which this one replaces has rejected the configuration file.
+var errRejected = errors.New("the process that is replaced has rejected this file; its configuration stays in force")
+
+// replaceRejected returns the configuration in force at the predecessor, and an error, if the predecessor has rejected the file that
+// this process has read: what is missing in it would be given defaults in a start. Otherwise it returns c.
+func (s serveCommand) replaceRejected(c *config.Config, predecessor *handover.Predecessor) (*config.Config, error) {
+	if predecessor == nil || predecessor.RejectedFile != handover.FileHash(c.FileText()) {
+		return c, nil
+	}
+	inForce, err := s.loadConfig(textOf(predecessor))
+	if err != nil {
+		return c, nil
+	}
+	return inForce, &config.FileError{Path: os.Getenv("GW_CONFIG"), Err: errRejected}
+}
+
+// textOf returns a function that reads the configuration file in force at a predecessor.
+func textOf(predecessor *handover.Predecessor) func(string) ([]byte, error) {
+	return func(string) ([]byte, error) { return predecessor.ConfigFile, nil }
+}
+
 // newLogger returns a logger with the format and level that the flags select.
 func (s serveCommand) newLogger(out io.Writer) (*slog.Logger, error) {
 	var level slog.Level
@@ -94,10 +147,14 @@
 // changes nothing: the node keeps the running one, and the error names the key.
 func reloadOnSignal(hangups <-chan os.Signal, running *config.Config, reloads chan<- node.Reload) {
 	for range hangups {
-		c, err := config.Reload(os.Getenv, platform.ReadFile, running)
+		var text []byte
+		c, err := config.Reload(os.Getenv, func(path string) (read []byte, err error) {
+			text, err = platform.ReadFile(path)
+			return text, err
+		}, running)
 		if err == nil {
 			running = c
 		}
-		reloads <- node.Reload{Config: c, Err: err}
+		reloads <- node.Reload{Config: c, Err: err, Text: text}
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Fleet           *Fleet // nil: the node is not a member of a fleet
 	ProgramVersion  string
 
+	fileText       []byte          // the file that the configuration was read from
 	settingsText   []byte          // the settings, in JSON, before parsing
 	platformLimits platformLimits  // the file's resource limits, before defaults
 	usedKeys       map[string]bool // paths, in lower case, of the keys present that are read; see collectKeys
@@ -35,6 +36,9 @@
 // SettingsText returns the settings as given, in JSON.
 func (c *Config) SettingsText() []byte { return c.settingsText }
 
+// FileText returns the text of the file that the configuration was read from.
+func (c *Config) FileText() []byte { return c.fileText }
+
 // NeedsRestart returns the keys whose values differ in next and that take effect only after a restart. It leaves out
 // discovery, which is applied without one, and known, because the node already holds a newer list.
 func (c *Config) NeedsRestart(next *Config) (keys []string) {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.fileText = text
 	c.usedKeys = map[string]bool{}
 	collectKeys(text, reflect.TypeFor[configFile](), "", c.usedKeys)
 	collectKeys(f.Settings, settings.DocumentType, "settings.", c.usedKeys)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -128,6 +128,9 @@
 	return l
 }
 
+// HandoverMessageTimeout is the time for receiving or sending a message of a handover.
+const HandoverMessageTimeout = time.Second
+
 // Defaults and bounds of the resources in the file.
 const (
 	defaultCores    = 1
@@ -230,7 +233,7 @@
 		ControlPlaneCallTimeout:  4 * time.Second,
 		ControlPlaneReadyTimeout: 2 * time.Second,
 
-		HandoverMessageTimeout:  time.Second,
+		HandoverMessageTimeout:  HandoverMessageTimeout,
 		ReplayableResponseBytes: 4 << 10,
 		DetachTimeout:           20 * time.Millisecond,
 		MigrationRetryInterval:  20 * time.Millisecond,
--- a/internal/handover/frames_test.go
+++ b/internal/handover/frames_test.go
@@ -76,6 +76,7 @@
 	m.Kind = k
 	// Added since the fixtures were written, see TestUsedIDs and TestUpdate.
 	m.UsedIDs, m.Updates, m.Discovery, m.DrainedWorkers, m.Drain, m.Source = nil, false, nil, nil, nil, ""
+	m.ConfigFile, m.RejectedFile = nil, ""
 	return m
 }
 
--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -36,6 +36,9 @@
 	Drained   []string                   // workers that the control plane has drained
 	Drain     OperatorDrain
 	Updates   bool // it understands KindUpdate
+
+	ConfigFile   []byte // the text of the configuration file in force there; nil: not told
+	RejectedFile string // the FileHash of the file that it has rejected last; empty if none
 }
 
 // Handshake asks the process at the other end of a link for a handover. It returns the predecessor and its listening socket,
@@ -67,7 +70,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	predecessor := &Predecessor{Link: l, Group: *answer.Group, Discovery: answer.Discovery, Updates: answer.Updates}
+	predecessor := &Predecessor{Link: l, Group: *answer.Group, Discovery: answer.Discovery, Updates: answer.Updates,
+		ConfigFile: answer.ConfigFile, RejectedFile: answer.RejectedFile}
 	if answer.DrainedWorkers != nil {
 		predecessor.Drained = *answer.DrainedWorkers
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -5,8 +5,11 @@
 package handover
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"swiftdeal/balance"
 	"swiftdeal/internal/config"
 )
@@ -14,6 +17,14 @@
 // Version is the version of the protocol. There is no handover between processes of different versions.
 const Version = 1
 
+// MaxConfigFileBytes limits ConfigFile, so that a message has room for the endpoint list beside it.
+const MaxConfigFileBytes = 1 << 20
+
+// FileHash identifies the text of a configuration file.
+func FileHash(text []byte) string { return strconv.FormatUint(xxhash.Sum64(text), hashBase) }
+
+const hashBase = 16
+
 // Kind is the kind of a message, as it is sent over the link.
 type Kind string
 
@@ -78,6 +89,10 @@
 	DrainedWorkers *[]string `json:"DrainedWorkers,omitempty"`
 	// Drain says whether an operator has asked for a drain of the node, with KindWelcome, and with KindUpdate if that has changed.
 	Drain *OperatorDrain `json:"Drain,omitempty"`
+	// ConfigFile is the text of the configuration file in force, with KindWelcome, if it has at most MaxConfigFileBytes.
+	ConfigFile []byte `json:"ConfigFile,omitempty"`
+	// RejectedFile is the FileHash of the file that was rejected at the last reload, with KindWelcome; empty if none was.
+	RejectedFile string `json:"RejectedFile,omitempty"`
 	// Source is the address of discovery that sent the changes in Group.
 	Source string `json:"Source,omitempty"`
 }
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -12,8 +12,9 @@
 //   - drain.go: drainState owns whether the node accepts clients. A drain is requested by an operator, or is final
 //     after SIGTERM.
 //   - process_handover.go, predecessor.go, successor.go: processHandover owns the links to the predecessor and
-//     successor processes. handover_updates.go: what linked processes tell each other. handover_listener.go: the listener that both processes share. migration.go,
-//     migrated_conn.go: open requests that move from one process to the other.
+//     successor processes. handover_updates.go: what linked processes tell each other. handover_listener.go: the
+//     listener that both processes share. migration.go: open requests that move from one process to the other.
+//   - config_file.go: configFile owns the text of the file in force, for a successor.
 //   - fleet.go: fleetMember owns the node's membership; observations.go: worker observations that are gossiped.
 //     control_plane.go: control plane calls, and the node as seen by its replica. fleet_settings.go: fleetSettings
 //     owns the fleet-wide settings at this node; settings_call.go: operator calls on them.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	connections *connTracker
 	discovery   *discovery.Client
 	addresses   discoveryAddresses
+	file        configFile
 	listEvents  discovery.Handler // receives updates of the endpoint list
 	invariants  *invariant.Monitor
 
@@ -167,7 +168,9 @@
 	n.fleet = newFleetMember(n, machine, c, log)
 	n.fleetSettings = newFleetSettings(c)
 	n.listEvents = n.fleet.wrapDiscovery(n.listEvents)
+	n.file.apply(c.FileText())
 	if listeners.Predecessor != nil {
+		n.file.rejected = listeners.Predecessor.RejectedFile
 		n.fleet.inheritDrained(listeners.Predecessor.Drained, fromPredecessor)
 	}
 	if listeners.Successors != nil || listeners.Predecessor != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -10,6 +10,7 @@
 type Reload struct {
 	Config *config.Config
 	Err    error
+	Text   []byte // of the file; nil if it could not be read
 }
 
 // reloadLoop applies new configurations one after the other: reloaded files and versions of the fleet's settings.
@@ -29,19 +30,19 @@
 // applyFile applies a reloaded file, overlaid with the fleet's settings, which a file cannot override.
 func (n *Node) applyFile(reload Reload) {
 	if reload.Err != nil {
-		n.rejectFile("configuration rejected", "error", reload.Err)
+		n.rejectFile("configuration rejected", reload, "error", reload.Err)
 		return
 	}
 	to, version, err := n.fleetSettings.overlayOn(reload.Config)
 	if err != nil {
-		n.rejectFile("configuration rejected with the fleet's settings", "error", err, "revision", version.String())
+		n.rejectFile("configuration rejected with the fleet's settings", reload, "error", err, "revision", version.String())
 		return
 	}
 	if keys := n.config.NeedsRestart(to); len(keys) > 0 {
 		n.log.Warn("changed keys need a restart", "keys", keys)
 	}
 	if err := n.applyConfig(to); err != nil {
-		n.rejectFile("settings rejected", "error", err)
+		n.rejectFile("settings rejected", reload, "error", err)
 		return
 	}
 	addresses := n.addresses.reload(to.Discovery.File)
@@ -52,12 +53,14 @@
 		n.applyVersion(refused)
 		n.fleet.notifyReplica()
 	}
+	n.file.apply(reload.Config.FileText())
 	n.reloadsOK.Add(1)
 }
 
 // rejectFile logs and counts a reloaded file that was not applied.
-func (n *Node) rejectFile(message string, attributes ...any) {
+func (n *Node) rejectFile(message string, reload Reload, attributes ...any) {
 	n.log.Error(message, attributes...)
+	n.file.reject(reload.Text)
 	n.reloadsFailed.Add(1)
 }
 
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -50,9 +50,10 @@
 		marked := h.node.fleet.withDrained(*told.list)
 		return handover.Message{Kind: handover.KindWelcome, Version: handover.Version, Group: &marked}
 	}
+	text, rejected := h.node.file.current()
 	return handover.Message{
 		Kind: handover.KindWelcome, Version: handover.Version, Group: told.list, Discovery: &told.discovery,
-		DrainedWorkers: &told.drained, Drain: &told.drain, Updates: true,
+		DrainedWorkers: &told.drained, Drain: &told.drain, Updates: true, ConfigFile: text, RejectedFile: rejected,
 	}
 }
 
