Scale, node: plain names and comments in lightnode and in the state that processes share

Change: private names and comments of scale/lightnode; sharedState in place of toldState. No behaviour, outer name or text that a rig matches changes, but lightnode's error message for a control plane that cannot start, which is the node's now.

--- a/internal/handover/handshake.go
+++ b/internal/handover/handshake.go
@@ -28,16 +28,16 @@
 	Close() error
 }
 
-// Predecessor is the process to be replaced: the link to it, and what it has told of itself.
+// Predecessor is the process to be replaced: the link to it, and its state as far as it sends it.
 type Predecessor struct {
 	Link      Link
 	Group     config.EndpointList        // its endpoint list
-	Discovery *config.DiscoveryAddresses // nil: it is of a version that does not tell them
+	Discovery *config.DiscoveryAddresses // nil: it is of a version that does not send them
 	Drained   []string                   // workers that the control plane has drained
 	Drain     OperatorDrain
 	Updates   bool // it understands KindUpdate
 
-	ConfigFile   []byte // the text of the configuration file in force there; nil: not told
+	ConfigFile   []byte // the text of the configuration file in force there; nil: not sent
 	RejectedFile string // the FileHash of the file that it has rejected last; empty if none
 }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -43,7 +43,7 @@
 	KindState Kind = "taken"
 	// KindConnection: the old process passes a client's idle connection.
 	KindConnection Kind = "client"
-	// KindUpdate: a process tells the other one what it has been told since the handover began; Discovery is set if it has
+	// KindUpdate: a process forwards what it has received from outside since the handover began; Discovery is set if it has
 	// changed, DrainedWorkers and Drain if they have, and Group, with Source, if the endpoint list of the old process has. It is sent
 	// after KindState, in both directions, to processes that have set Updates.
 	KindUpdate Kind = "update"
@@ -82,7 +82,7 @@
 	// Updates is set in KindHello and KindWelcome: the sender understands KindUpdate. Versions that do not set it end the link
 	// at a message of a kind that they do not know.
 	Updates bool `json:"Updates,omitempty"`
-	// Discovery holds the sender's addresses of discovery; nil: the sender is of a version that does not tell them.
+	// Discovery holds the sender's addresses of discovery; nil: the sender is of a version that does not send them.
 	Discovery *config.DiscoveryAddresses `json:"Discovery,omitempty"`
 	// DrainedWorkers are the workers that the fleet's control plane has drained, with KindWelcome, and with KindUpdate if they
 	// have changed. To processes that have not set Updates they are draining in Group.
--- a/internal/node/handover_updates.go
+++ b/internal/node/handover_updates.go
@@ -8,8 +8,8 @@
 	"swiftdeal/internal/handover"
 )
 
-// While two processes of the node run, each tells the other what it is told: a signal reaches only one of them, and either may be
-// the one that stays.
+// While two processes of the node run, each forwards what it receives from signals, operators, discovery and the control plane:
+// these reach only one of the two, and either may be the one that stays.
 
 // linkedProcess says which process is at the other end of a link.
 type linkedProcess int
@@ -19,50 +19,50 @@
 	fromSuccessor
 )
 
-// toldState is what a process of the node has been told and another one has to know.
-type toldState struct {
+// sharedState is the state that one process of the node has received from outside and the other one needs too.
+type sharedState struct {
 	discovery config.DiscoveryAddresses
 	drained   []string // workers that the control plane has drained
 	drain     handover.OperatorDrain
-	list      *config.EndpointList // nil: it is not passed on
+	list      *config.EndpointList // nil: it is not forwarded
 }
 
-// currentState returns what this process has been told.
-func (h *processHandover) currentState() toldState {
-	return toldState{
+// currentState returns the shared state of this process.
+func (h *processHandover) currentState() sharedState {
+	return sharedState{
 		discovery: h.node.addresses.current(), drained: h.node.fleet.drainedWorkers(),
 		drain: h.node.drainState.operatorDrain(), list: h.endpoints.current(),
 	}
 }
 
-// toldBy returns what a predecessor has told of itself. The list is not passed on to it: it asks discovery itself, and is about to
+// stateOf returns the shared state of a predecessor. The list is not forwarded to it: it watches discovery itself, and is about to
 // exit.
-func toldBy(predecessor *handover.Predecessor) toldState {
-	told := toldState{drained: predecessor.Drained, drain: predecessor.Drain}
+func stateOf(predecessor *handover.Predecessor) sharedState {
+	state := sharedState{drained: predecessor.Drained, drain: predecessor.Drain}
 	if predecessor.Discovery != nil {
-		told.discovery = *predecessor.Discovery
+		state.discovery = *predecessor.Discovery
 	}
-	return told
+	return state
 }
 
-// updateSender tells the process at the other end of a link what changes in this one.
+// updateSender sends changes of the shared state to the process at the other end of a link.
 type updateSender struct {
 	handover *processHandover
 	link     handover.Link
 	changed  chan struct{} // capacity 1
 	done     chan struct{}
 	stopOnce sync.Once
-	known    toldState // at the other end; used by run only
+	known    sharedState // at the other end; used by run only
 }
 
-// sendUpdates starts to tell the process at the other end of a link what changes from what is known there. The caller stops the
-// sender when the link has ended.
-func (h *processHandover) sendUpdates(link handover.Link, known toldState) *updateSender {
+// sendUpdates starts to send changes of the shared state to the process at the other end of a link, which knows the given state.
+// The caller stops the sender when the link has ended.
+func (h *processHandover) sendUpdates(link handover.Link, known sharedState) *updateSender {
 	s := &updateSender{handover: h, link: link, changed: make(chan struct{}, 1), done: make(chan struct{}), known: known}
 	h.mu.Lock()
 	h.linked[s] = true
 	h.mu.Unlock()
-	s.notify() // of what has changed since the other process was told last
+	s.notify() // the state may have changed since the last message
 	h.run(noLink{}, s.run)
 	return s
 }
@@ -124,7 +124,7 @@
 	return s.link.Send(update)
 }
 
-// notifyLinked has all linked processes told what has changed. It does not wait, and may be called on nil.
+// notifyLinked has changes of the shared state sent to all linked processes. It does not wait, and may be called on nil.
 func (h *processHandover) notifyLinked() {
 	if h == nil {
 		return
@@ -136,7 +136,7 @@
 	}
 }
 
-// applyUpdate applies what another process of the node has been told.
+// applyUpdate applies a change of the shared state of another process of the node.
 func (h *processHandover) applyUpdate(m handover.Message, from linkedProcess) {
 	n := h.node
 	if m.Discovery != nil && n.addresses.follow(*m.Discovery, from) {
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -33,7 +33,7 @@
 	h.run(link, func() {
 		defer close(idle)
 		if predecessor.Updates {
-			defer h.sendUpdates(link, toldBy(predecessor)).stop()
+			defer h.sendUpdates(link, stateOf(predecessor)).stop()
 		}
 		received, err := h.receiveClients(link, idle)
 		h.predecessorExited(received, err)
--- a/internal/node/process_handover.go
+++ b/internal/node/process_handover.go
@@ -31,7 +31,7 @@
 	successor   handover.Link          // to the process that took over the clients; nil if none has
 	predecessor handover.Link          // to the process that this one has replaced; nil if it has exited, or there was none
 	migrating   chan struct{}          // closed while open requests are to be migrated to the successor
-	linked      map[*updateSender]bool // to the processes that are told of changes
+	linked      map[*updateSender]bool // send changes to the linked processes
 	closed      bool                   // no more goroutines may be started
 	running     sync.WaitGroup
 
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -32,12 +32,12 @@
 		link.Send(handover.Message{Kind: handover.KindRefused, Version: handover.Version, Reason: reason})
 		return
 	}
-	told := h.currentState()
-	err = link.Send(h.welcome(told, hello.Updates), h.listener.Listener)
+	state := h.currentState()
+	err = link.Send(h.welcome(state, hello.Updates), h.listener.Listener)
 	for tookOver := false; err == nil; {
 		tookOver, err = h.receiveStep(link, id)
 		if tookOver && hello.Updates {
-			defer h.sendUpdates(link, told).stop()
+			defer h.sendUpdates(link, state).stop()
 		}
 	}
 	h.successorExited(link, id, err)
@@ -45,15 +45,15 @@
 
 // welcome returns the message that begins a handover. A successor of a version without updates does not know of drained workers:
 // they are draining in its list.
-func (h *processHandover) welcome(told toldState, updates bool) handover.Message {
+func (h *processHandover) welcome(state sharedState, updates bool) handover.Message {
 	if !updates {
-		marked := h.node.fleet.withDrained(*told.list)
+		marked := h.node.fleet.withDrained(*state.list)
 		return handover.Message{Kind: handover.KindWelcome, Version: handover.Version, Group: &marked}
 	}
 	text, rejected := h.node.file.current()
 	return handover.Message{
-		Kind: handover.KindWelcome, Version: handover.Version, Group: told.list, Discovery: &told.discovery,
-		DrainedWorkers: &told.drained, Drain: &told.drain, Updates: true, ConfigFile: text, RejectedFile: rejected,
+		Kind: handover.KindWelcome, Version: handover.Version, Group: state.list, Discovery: &state.discovery,
+		DrainedWorkers: &state.drained, Drain: &state.drain, Updates: true, ConfigFile: text, RejectedFile: rejected,
 	}
 }
 
--- a/internal/testing/scale/lightnode/lightnode.go
+++ b/internal/testing/scale/lightnode/lightnode.go
@@ -1,6 +1,6 @@
-// Package lightnode runs nodes without a data path: the control code of the product as it is (the view, the council's holder or seat,
-// discovery's watch, the settings), on real sockets and in real time, with nobody to serve. It has no code of its own for anything
-// that a scale run measures; hundreds of nodes share a process.
+// Package lightnode runs nodes without a data path: the product's own membership, control plane, discovery client and settings, on
+// real sockets and in real time, without clients. It has no code of its own for anything that a scale run measures. Hundreds of
+// nodes share a process.
 package lightnode
 
 import (
@@ -28,37 +28,37 @@
 
 // Node is one light node.
 type Node struct {
-	member      platform.Machine
-	fleetConfig *config.Fleet
-	logger      *slog.Logger
-	accounting  *observation.Tracker
-	begun       time.Time
-
-	mu     sync.Mutex
-	config *config.Config // as last read
-	text   []byte
-	group  config.EndpointList // as discovery has told it
-
-	service      *gossip.Service
-	upstream     *discovery.Client
-	drainer      *replica.Drainer
-	drained      atomic.Bool
-	councilHeard atomic.Bool
-	watched      *time.Timer
-	reloads      atomic.Int64
+	machine      platform.Machine
+	fleetConfig  *config.Fleet
+	logger       *slog.Logger
+	observations *observation.Tracker
+	startedAt    time.Time
+
+	mu        sync.Mutex
+	config    *config.Config // as last loaded
+	text      []byte
+	endpoints config.EndpointList // as received from discovery
+
+	service    *gossip.Service
+	discovery  *discovery.Client
+	drainer    *replica.Drainer
+	drained    atomic.Bool
+	synced     atomic.Bool // the node has received its assignment from the control plane
+	retryTimer *time.Timer // starts the next watch; nil while none is due
+	reloads    atomic.Int64
 
 	inForce   configversion.ID // of the fleet's settings, in force here; guarded by mu, as what follows
 	inForceAt time.Time
 	applied   []replica.AppliedSettings
 }
 
-// Files is what a node is started with, as the product reads it: its configuration and its part in the fleet.
+// Files are the texts of the files that a node is started with.
 type Files struct {
 	Config []byte // JSON
 	Fleet  []byte // TOML
 }
 
-// read reads a configuration as the product does.
+// read loads a configuration, or reloads it if there is a running one.
 func read(text []byte, running *config.Config) (*config.Config, error) {
 	env := func(key string) string { return map[string]string{"GW_CONFIG": "config.json"}[key] }
 	open := func(string) ([]byte, error) { return text, nil }
@@ -80,73 +80,71 @@
 	}
 	c.Fleet, c.ProgramVersion = fc, "0.1.0"
 	n := &Node{
-		member:      m,
-		begun:       time.Now(),
-		config:      c,
-		text:        f.Config,
-		fleetConfig: fc,
-		logger:      log.With("node", c.Name),
-		accounting:  observation.New(observation.DefaultLimits(c.Settings.Balance.SlowStartDuration)),
+		machine:      m,
+		startedAt:    time.Now(),
+		config:       c,
+		text:         f.Config,
+		fleetConfig:  fc,
+		logger:       log.With("node", c.Name),
+		observations: observation.New(observation.DefaultLimits(c.Settings.Balance.SlowStartDuration)),
 	}
-	n.drainer = replica.NewDrainer(
-		list{n},
-		func(peers []string, quiet func([]string)) { go quiet(peers) },
-	) // no attempt is anywhere
-	n.upstream = discovery.New(c.Limits, m.Dial, c.Discovery.List(), 0, n.drainer, log)
-	o := gossip.Options{
+	allIdle := func(workers []string, idle func([]string)) { go idle(workers) } // there are no attempts
+	n.drainer = replica.NewDrainer(listHandler{n}, allIdle)
+	n.discovery = discovery.New(c.Limits, m.Dial, c.Discovery.List(), 0, n.drainer, log)
+	options := gossip.Options{
 		Fleet:          fc,
 		Name:           c.Name,
 		ClientAddr:     c.Listen,
 		ControlAddr:    c.Control,
 		ProgramVersion: c.ProgramVersion,
-		LocalState:     n.report,
+		LocalState:     n.localState,
 		BindTimeout:    c.Limits.BindTimeout,
 	}
 	if fc.BelieveObservations {
-		o.OnObservations = n.applyList
+		options.OnObservations = n.applyObservations
 	}
 	if fc.ControlPlane != nil {
-		o.NewSubprotocol = n.part
+		options.NewSubprotocol = n.newReplica
 	}
-	n.service = gossip.New(m, o, n.logger)
+	n.service = gossip.New(m, options, n.logger)
 	if err := n.service.Start(); err != nil {
-		n.upstream.Close()
+		n.discovery.Close()
 		return nil, fmt.Errorf("%s: member.listen: %w", c.Name, err)
 	}
-	n.upstream.Watch()
+	n.discovery.Watch()
 	return n, nil
 }
 
-// list takes what discovery tells, as the drainer leaves it.
-type list struct{ node *Node }
+// listHandler receives endpoint lists, after the drainer.
+type listHandler struct{ node *Node }
 
-// again is how soon a watch that has failed is asked for anew.
-const again = time.Second
+// watchRetryDelay is the time from the failure of a watch to the next one.
+const watchRetryDelay = time.Second
 
 // AwaitListEvents implements discovery.Handler: events take effect at once.
-func (list) AwaitListEvents() {}
+func (listHandler) AwaitListEvents() {}
 
 // HandleListEvent implements discovery.Handler.
-func (l list) HandleListEvent(kind balance.EndpointUpdate, g config.EndpointList) {
+func (l listHandler) HandleListEvent(kind balance.EndpointUpdate, update config.EndpointList) {
 	n := l.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch kind {
 	case balance.FailedUpdate:
-		if n.watched == nil {
-			n.watched = time.AfterFunc(again, func() {
+		if n.retryTimer == nil {
+			n.retryTimer = time.AfterFunc(watchRetryDelay, func() {
 				n.mu.Lock()
-				n.watched = nil
+				n.retryTimer = nil
 				n.mu.Unlock()
-				n.upstream.Watch()
+				n.discovery.Watch()
 			})
 		}
 	case balance.FullUpdate, balance.DeltaUpdate:
-		n.group = n.group.Merge(g)
+		n.endpoints = n.endpoints.Merge(update)
 	}
 }
 
-// name is the node's in the fleet.
+// name returns the node's name in the fleet.
 func (n *Node) name() string {
 	if n.fleetConfig.MemberName != "" {
 		return n.fleetConfig.MemberName
@@ -154,17 +152,17 @@
 	return n.config.Name
 }
 
-// part makes the node's part in the council.
-func (n *Node) part(life uint64, now time.Duration) gossip.Subprotocol {
+// newReplica creates the node's control plane replica. It returns nil on failure.
+func (n *Node) newReplica(instanceID uint64, now time.Duration) gossip.Subprotocol {
 	s, err := replica.New(
 		replica.Config{
 			Fleet:             n.fleetConfig,
 			Name:              n.name(),
 			ProgramVersion:    "0.1.0",
-			InstanceID:        life,
+			InstanceID:        instanceID,
 			SlowStartDuration: n.config.Settings.Balance.SlowStartDuration,
 			LockTimeout:       n.config.Limits.BindTimeout,
-			Random:            n.member.Random,
+			Random:            n.machine.Random,
 			Drainer:           n.drainer,
 		},
 		host{n},
@@ -172,45 +170,45 @@
 		n.logger,
 	)
 	if err != nil {
-		n.logger.Error("takes no part in the council", "error", err)
+		n.logger.Error("control plane unavailable", "error", err)
 		return nil
 	}
 	return s
 }
 
-// load is what a light node says that it serves, jobs a second: a node that had nothing to tell would send shorter words than one
-// with clients.
-const load = 6.5
+// servedPerSecond is the number of requests per second that a light node reports. A node that reported none would send shorter
+// messages than one with clients.
+const servedPerSecond = 6.5
 
-// report is what the node says of itself: that it serves a small load, and room for each class.
-func (n *Node) report() gossip.LocalState {
+// localState returns the state that the node announces: a small load, and free capacity for each class.
+func (n *Node) localState() gossip.LocalState {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	o := gossip.LocalState{
+	state := gossip.LocalState{
 		State: host{n}.State(),
 		Load: codec.Load{
 			InFlight:        1,
-			ServedPerSecond: load,
-			Workers:         uint32(len(n.group.Endpoints)),
+			ServedPerSecond: servedPerSecond,
+			Workers:         uint32(len(n.endpoints.Endpoints)),
 			FreeCapacity:    map[string]int32{},
 		},
 	}
 	for _, name := range n.config.Settings.ClassNames() {
-		o.Load.FreeCapacity[name] = int32(len(n.group.Endpoints))
+		state.Load.FreeCapacity[name] = int32(len(n.endpoints.Endpoints))
 	}
-	return o
+	return state
 }
 
-// applyList takes what others tell of workers, and weighs it as a node would.
-func (n *Node) applyList(told []membership.MemberObservations) {
+// applyObservations evaluates the observations of other nodes as a node does, without effect.
+func (n *Node) applyObservations(received []membership.MemberObservations) {
 	var all []codec.Observation
-	for _, t := range told {
+	for _, t := range received {
 		all = append(all, t.Observations...)
 	}
-	n.accounting.Receive(time.Duration(time.Now().UnixNano()), all)
+	n.observations.Receive(time.Duration(time.Now().UnixNano()), all)
 }
 
-// host is the node as its part in the council sees it.
+// host is the interface of the node to its control plane replica.
 type host struct{ node *Node }
 
 // State implements replica.Host.
@@ -234,15 +232,15 @@
 func (h host) Resume() { h.node.drained.Store(false) }
 
 // SetSynced implements replica.Host.
-func (h host) SetSynced(told bool) { h.node.councilHeard.Store(told) }
+func (h host) SetSynced(synced bool) { h.node.synced.Store(synced) }
 
-// RequestCounts implements replica.Host: the load, spread over as many classes as a node tells of at most.
+// RequestCounts implements replica.Host: the load, spread over at most maxReportedClasses classes.
 func (h host) RequestCounts() map[string]rollout.Count {
 	h.node.mu.Lock()
 	names := h.node.config.Settings.ClassNames()
 	h.node.mu.Unlock()
-	names = names[:min(len(names), mostCounts)]
-	served := int64(load * time.Since(h.node.begun).Seconds())
+	names = names[:min(len(names), maxReportedClasses)]
+	served := int64(servedPerSecond * time.Since(h.node.startedAt).Seconds())
 	counts := map[string]rollout.Count{}
 	for i, name := range names {
 		if n := (served + int64(i)) / int64(len(names)); n > 0 {
@@ -252,15 +250,15 @@
 	return counts
 }
 
-// mostCounts is how many classes a node tells the council of.
-const mostCounts = 12
+// maxReportedClasses is the maximum number of classes whose request counts a node reports to the control plane.
+const maxReportedClasses = 12
 
-// ApplySettings implements replica.Host: the revision is laid over the configuration and checked as a node does it, beside
-// the owner of the view.
-func (h host) ApplySettings(r *configversion.Version) {
+// ApplySettings implements replica.Host: it overlays the configuration with the version and validates it as a node does. It does
+// not block the goroutine that owns the membership.
+func (h host) ApplySettings(version *configversion.Version) {
 	go func() {
-		h.node.follow(r)
-		h.node.service.Do(func(time.Duration, gossip.Subprotocol) {}) // whoever owns the view looks after each call
+		h.node.applyVersion(version)
+		h.node.service.Do(func(time.Duration, gossip.Subprotocol) {}) // the owner fetches the results after each call
 	}()
 }
 
@@ -276,27 +274,27 @@
 // SettingsKnown implements replica.Host.
 func (h host) SettingsKnown() {}
 
-// follow puts a revision of the fleet's settings into effect, unless a later one is.
-func (n *Node) follow(r *configversion.Version) {
+// applyVersion puts a version of the fleet's settings in force, unless a later one is.
+func (n *Node) applyVersion(version *configversion.Version) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r.ID.Compare(n.inForce) <= 0 {
+	if version.ID.Compare(n.inForce) <= 0 {
 		return
 	}
-	s, err := configversion.Unpack(r.Body)
+	s, err := configversion.Unpack(version.Body)
 	if err == nil {
 		_, err = n.config.WithOverlay(s.Settings)
 	}
 	if err != nil {
-		n.logger.Error("fleet settings refused", "revision", r.ID.String(), "why", err)
-		n.applied = append(n.applied, replica.AppliedSettings{ID: r.ID, RejectReason: err.Error()})
+		n.logger.Error("fleet settings refused", "revision", version.ID.String(), "why", err)
+		n.applied = append(n.applied, replica.AppliedSettings{ID: version.ID, RejectReason: err.Error()})
 		return
 	}
-	n.inForce, n.inForceAt = r.ID, time.Now()
-	n.applied = append(n.applied, replica.AppliedSettings{ID: r.ID})
+	n.inForce, n.inForceAt = version.ID, time.Now()
+	n.applied = append(n.applied, replica.AppliedSettings{ID: version.ID})
 }
 
-// InForceSince is the revision of the fleet's settings that is in force here, and since when.
+// InForceSince returns the version of the fleet's settings in force, and since when.
 func (n *Node) InForceSince() (configversion.ID, time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -307,18 +305,19 @@
 func (h host) WorkerStates() (map[string]balance.WorkerState, map[string]int, time.Duration) {
 	h.node.mu.Lock()
 	defer h.node.mu.Unlock()
-	known, room := map[string]balance.WorkerState{}, map[string]int{}
-	for _, p := range h.node.group.Endpoints {
-		known[p.ID] = balance.WorkerState{ID: p.ID, StartedAt: p.StartedAt, SlowStartAt: p.StartedAt}
+	states, freeCapacity := map[string]balance.WorkerState{}, map[string]int{}
+	for _, endpoint := range h.node.endpoints.Endpoints {
+		states[endpoint.ID] = balance.WorkerState{
+			ID: endpoint.ID, StartedAt: endpoint.StartedAt, SlowStartAt: endpoint.StartedAt,
+		}
 	}
 	for _, name := range h.node.config.Settings.ClassNames() {
-		room[name] = len(known)
+		freeCapacity[name] = len(states)
 	}
-	return known, room, time.Duration(time.Now().UnixNano())
+	return states, freeCapacity, time.Duration(time.Now().UnixNano())
 }
 
-// Reload puts a configuration into effect, as at SIGHUP: it is read anew and checked against the running one, and discovery is
-// asked anew.
+// Reload puts a configuration in force, as at SIGHUP: it is validated against the running one, and a new watch is started.
 func (n *Node) Reload(text []byte) error {
 	n.mu.Lock()
 	running := n.config
@@ -332,64 +331,64 @@
 	n.config, n.text = c, text
 	n.mu.Unlock()
 	n.reloads.Add(1)
-	n.upstream.SetAddresses(c.Discovery.List())
-	n.upstream.Watch()
+	n.discovery.SetAddresses(c.Discovery.List())
+	n.discovery.Watch()
 	return nil
 }
 
-// Text is the configuration in force, as it was read.
+// Text returns the text of the configuration in force.
 func (n *Node) Text() []byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.text
 }
 
-// State is how much a node holds.
+// State is the size of a node's state.
 type State struct {
 	Members        [codec.Left + 1]int `json:"Members"`
 	PendingUpdates int                 `json:"News"`
 	Probes         int                 `json:"Probes"`
 	Workers        int                 `json:"Workers"`
 	Classes        int                 `json:"Classes"`
-	CouncilHeard   bool                `json:"Told"` // the council has said what concerns it
+	CouncilHeard   bool                `json:"Told"` // the node has received its assignment from the control plane
 }
 
-// State returns how much the node holds; ok is false where its part in the fleet has ended.
+// State returns the size of the node's state; ok is false if the node has left the fleet.
 func (n *Node) State() (s State, ok bool) {
-	z, ok := n.service.Sizes()
+	sizes, ok := n.service.Sizes()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return State{
-		Members:        z.Members,
-		PendingUpdates: z.Broadcasts,
-		Probes:         z.Probes,
-		Workers:        len(n.group.Endpoints),
+		Members:        sizes.Members,
+		PendingUpdates: sizes.Broadcasts,
+		Probes:         sizes.Probes,
+		Workers:        len(n.endpoints.Endpoints),
 		Classes:        len(n.config.Settings.Balance.Classes),
-		CouncilHeard:   n.councilHeard.Load(),
+		CouncilHeard:   n.synced.Load(),
 	}, ok
 }
 
-// ControlPlane is what the node knows of the council; nil where it has none.
-func (n *Node) ControlPlane() (r *controlplane.Report) {
+// ControlPlane returns the node's report on the control plane, or nil if there is none.
+func (n *Node) ControlPlane() (report *controlplane.Report) {
 	n.service.Do(func(now time.Duration, p gossip.Subprotocol) {
 		if s, ok := p.(*replica.Service); ok {
-			r = s.Report(now)
+			report = s.Report(now)
 		}
 	})
-	return r
+	return report
 }
 
-// Traffic is what the node has sent and received in datagrams.
+// Traffic returns the datagram traffic of the node.
 func (n *Node) Traffic() gossip.Traffic { return n.service.Traffic() }
 
-// Stop ends the node: with a word to the others, as at SIGTERM, or without one, as a crash.
+// Stop ends the node: it leaves the fleet, as at SIGTERM, or just ends, as in a crash.
 func (n *Node) Stop(crash bool) {
 	n.mu.Lock()
-	if n.watched != nil {
-		n.watched.Stop()
+	if n.retryTimer != nil {
+		n.retryTimer.Stop()
 	}
 	n.mu.Unlock()
-	n.upstream.Close()
+	n.discovery.Close()
 	if crash {
 		n.service.Close()
 	} else {
@@ -397,7 +396,7 @@
 	}
 }
 
-// IgnoreEvents is a log for hundreds of nodes: warnings alone.
+// IgnoreEvents returns a logger for hundreds of nodes, which writes errors only.
 func IgnoreEvents(to io.Writer) *slog.Logger {
 	if to == nil {
 		to = os.Stderr
